--- /dev/null
+++ b/rules/api.go
@@ -0,0 +1,240 @@
+// Package rules decides what a sender of notifications does with each message it has taken.
+//
+// This file is the package's whole interface: the settings a sender starts with, the events it is told of
+// and the actions it answers with. The decisions are in rules.go.
+package rules
+
+import "time"
+
+// MessageID names a message for as long as the sender owes it an answer.
+type MessageID string
+
+// EndpointID names one endpoint; it carries no meaning of its own.
+type EndpointID uint32
+
+// Effect says what a repeated attempt of a class may do.
+type Effect int
+
+// The effect classes.
+const (
+	Safe       Effect = iota // a repeat only overwrites
+	Keyed                    // a repeat is dropped while the destination remembers the key
+	AtMostOnce               // a repeat could take effect twice
+)
+
+// Scope says which endpoints of a destination drop repeats of a keyed message.
+type Scope int
+
+// The scopes of a key.
+const (
+	ScopeDestination Scope = iota
+	ScopeZone
+	ScopeEndpoint
+)
+
+// Class is one class of message.
+type Class struct {
+	Effect    Effect
+	Scope     Scope
+	Window    time.Duration // for Keyed: how long a destination remembers a key
+	Aim       time.Duration // delivered within this time, a message earns its full worth
+	Deadline  time.Duration
+	Worth     float64
+	LateWorth float64 // share of the worth left at the deadline
+	KeepOrder bool
+}
+
+// Kind is one kind of destination.
+type Kind struct {
+	RoutesApart bool // each endpoint has a limit, pace and outages of its own
+	Batch       int  // messages in one call at most
+}
+
+// Tenant is one party that hands in messages.
+type Tenant struct {
+	Quota float64 // messages a second within its share, over all senders
+}
+
+// Settings are what a sender knows when it starts.
+type Settings struct {
+	Seed    uint64
+	Senders int // how many senders there are in all
+	Zone    int
+	Tick    time.Duration // the shortest gap between two steps
+
+	Slots       int // calls out at once
+	MaxHeld     int // messages held at once, sent or not
+	MaxAttempts int
+
+	ConnectTimeout time.Duration
+	KeepAlive      time.Duration
+	MaxRetryAfter  time.Duration
+	MayAdvise      bool // a refusal may say when to come back
+	MayCancel      bool
+	MayProbe       bool
+	MayCopy        bool // two attempts of one message may be out together
+
+	AnswerGrace    time.Duration // a final answer still counts this long after the deadline
+	DrainGrace     time.Duration
+	ColdShare      float64 // capacity left just after an outage, as a share
+	WarmUp         time.Duration
+	FallWindow     time.Duration
+	OverloadFactor float64
+	OrderPause     time.Duration // rest of an order key after an attempt that may still run
+
+	AskRegistry bool // changes come only to a sender that watches
+	AskEvery    time.Duration
+
+	RatesListed    bool // endpoints' listed rates mean something
+	LateHalving    bool // late worth halves with each further aim, else it falls evenly
+	OverShareWorth float64
+	CrossZoneCost  float64   // worth that an attempt to another zone costs
+	ZoneTolls      []float64 // worth that a message costs at a separate route, by the route's zone
+
+	Kinds   []Kind
+	Classes []Class
+	Tenants []Tenant
+}
+
+// Entry is one endpoint as the registry lists it.
+type Entry struct {
+	Endpoint    EndpointID
+	Destination int
+	Kind        int
+	Zone        int
+	ListedRate  float64 // calls a second, where Settings.RatesListed
+	Draining    bool
+	Gone        bool
+}
+
+// Outcome is how an attempt or a probe ended.
+type Outcome int
+
+// The outcomes.
+const (
+	OK           Outcome = iota
+	Errored              // the destination answered with an error; it may have taken effect
+	Full                 // turned away unseen; it never ran
+	TimedOut             // no answer in time; it may have taken effect or still do so
+	ConnectError         // no connection; it never ran
+	Reset                // the connection broke; it may have taken effect
+	Cancelled            // called off; it may have taken effect
+	NotSent              // it never left this sender
+)
+
+// Report is what a destination tells of its limit with an answer.
+type Report struct {
+	Left  float64 // share of the allowance that is left
+	Limit float64 // calls a second that the limit allows, 0 for none told
+}
+
+// Event is something a sender is told.
+type Event interface{ event() }
+
+// Arrived tells of a message taken from a client.
+type Arrived struct {
+	ID          MessageID
+	Destination int
+	Class       int
+	Tenant      int
+	OrderKey    string
+	TimeLeft    time.Duration
+	Estimate    time.Duration // rough cost of the call, 0 for none given
+}
+
+// Withdrawn tells that nobody wants the message any more.
+type Withdrawn struct{ ID MessageID }
+
+// Ended tells how an attempt ended.
+type Ended struct {
+	ID       MessageID
+	Attempt  int
+	Endpoint EndpointID
+	Outcome  Outcome
+	Elapsed  time.Duration
+	Over     bool          // the message has its final answer, by this outcome or before it
+	Wait     time.Duration // with Full: stay away this long
+	NoSlot   bool          // with NotSent: every slot was taken
+	Report   Report
+}
+
+// StreamStarted tells that an answer has begun; the attempt now belongs to the client.
+type StreamStarted struct {
+	ID      MessageID
+	Attempt int
+}
+
+// Probed tells how a probe ended.
+type Probed struct {
+	Endpoint EndpointID
+	Outcome  Outcome
+	Elapsed  time.Duration
+	Report   Report
+}
+
+// Listed brings the registry's list, whole or as changes.
+type Listed struct {
+	Whole   bool
+	Entries []Entry
+}
+
+// ListFailed tells that a call to the registry failed or the watch broke.
+type ListFailed struct{}
+
+// Woke tells that a wake-up asked for has come due.
+type Woke struct{}
+
+func (Arrived) event()       {}
+func (Withdrawn) event()     {}
+func (Ended) event()         {}
+func (StreamStarted) event() {}
+func (Probed) event()        {}
+func (Listed) event()        {}
+func (ListFailed) event()    {}
+func (Woke) event()          {}
+
+// Action is something a sender does.
+type Action interface{ action() }
+
+// Send makes an attempt. Sends of one step to one endpoint share a call as far as its kind allows.
+type Send struct {
+	ID       MessageID
+	Endpoint EndpointID
+	Timeout  time.Duration // 0: until the client gives up
+}
+
+// Refuse ends a message with the promise that trying again is harmless.
+type Refuse struct {
+	ID         MessageID
+	RetryAfter time.Duration // 0: no advice
+}
+
+// Fail ends a message with no promise.
+type Fail struct{ ID MessageID }
+
+// Cancel abandons the wait for one attempt.
+type Cancel struct {
+	ID      MessageID
+	Attempt int
+}
+
+// Probe checks an endpoint.
+type Probe struct{ Endpoint EndpointID }
+
+// CloseIdle closes this sender's idle connections to an endpoint.
+type CloseIdle struct{ Endpoint EndpointID }
+
+// WakeAfter asks for a Woke event.
+type WakeAfter struct{ After time.Duration }
+
+// Watch asks the registry for its changes from now on.
+type Watch struct{}
+
+func (Send) action()      {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (Cancel) action()    {}
+func (Probe) action()     {}
+func (CloseIdle) action() {}
+func (WakeAfter) action() {}
+func (Watch) action()     {}
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,788 @@
+// The decisions of a sender. The interface (settings, events, actions) is in api.go.
+//
+// The ordinary path is AIMD pacing per lane (type pace). Around it stand health (endpoint), the order of
+// work (plan), one guard that every send passes (maySend) and one place that ends messages (end).
+package rules
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Tuned values. Each holds for every deployment; what differs between them comes with the settings.
+const (
+	// Pace, as the design page gives it.
+	cutFactor     = 0.7              // the design's DecreaseFactor
+	cutCooldown   = time.Second      // the design's start value; shorter cuts twice for one crowd
+	climbInterval = 2 * time.Second  // the design's start value
+	climbShare    = 0.1              // step as a share of the rate before the last cut; fixed by the design
+	minPace       = 0.2              // calls a second; keeps a cut lane learning
+	paceLapse     = 15 * time.Second // quiet time after which a pace no longer binds
+	sendMemory    = 2 * time.Second  // span over which send and refusal rates are measured
+
+	// Health.
+	deliveredMemory = 10 * time.Second        // span over which a delivered rate is measured; an outage's length
+	failStreak      = 2                       // failures in a row that are not chance
+	refusalStreak   = 3                       // refusals in a row without a success: shut rather than full
+	refusalSpan     = 1500 * time.Millisecond // and over at least this long; a limit frees room sooner
+	longWait        = 2 * time.Second         // a told wait beyond a limit's own: the destination is shut
+	silenceFactor   = 2                       // silence, in late-answer times, that counts as an outage
+	rampGain        = 1.0                     // of what was delivered before, times the share that is warm
+	rampFloor       = 0.5                     // calls a second assumed delivered where nothing is known
+	tableMemory     = 5 * time.Second         // how long a full connection table caps concurrency
+
+	// Latency.
+	latGain     = 0.25                   // weight of a new latency sample
+	firstLate   = 2 * time.Second        // late-answer time before any sample
+	minLate     = 500 * time.Millisecond // least late-answer time: service times have long tails
+	maxLate     = 8 * time.Second        // most: a slow endpoint must still be found silent in time
+	patience    = 3                      // time-out of a repeatable call, in late-answer times
+	minPatience = 1500 * time.Millisecond
+	copyAfter   = 3 // age, in late-answer times, at which a copy elsewhere may start
+
+	// Room and order.
+	laneShare   = 0.4                    // of the slots that one lane may fill
+	roomMargin  = 16                     // part of the holding room kept free for newcomers: 1/16
+	minHorizon  = 250 * time.Millisecond // look-ahead for worth lost by waiting
+	maxHorizon  = 10 * time.Second
+	baseUrgency = 0.05                   // weight of a message's worth that waiting does not reduce
+	worthTime   = 10.0                   // seconds of latency that one unit of worth in fees outweighs
+	handshake   = 100 * time.Millisecond // latency that a connection likely open saves
+	shareMemory = 10 * time.Second       // span over which tenants' shares are measured
+
+	pollEvery = 250 * time.Millisecond // wake-ups while anything waits
+	never     = time.Duration(math.MaxInt64)
+)
+
+// onFull takes a refusal of a call sent at sentAt. A listed rate, where there is one, seeds the first cut:
+// the measured rate of a short burst may be far off it either way.
+func (p *pace) onFull(now, sentAt time.Duration, listed float64, senders int) {
+	p.refused.add(now, sendMemory, 1)
+	p.lastRefusal = now
+	if p.rate > 0 && (now-p.lastCut < cutCooldown || sentAt <= p.lastCut) {
+		return
+	}
+	before := p.rate
+	if before == 0 {
+		before = max(p.sent.perSecond(now, sendMemory), p.refused.perSecond(now, sendMemory))
+		if listed > 0 {
+			before = min(max(before, listed/float64(max(senders, 1))), listed)
+		}
+	}
+	p.step = climbShare * before
+	p.rate = max(before*cutFactor, minPace)
+	p.lastCut, p.lastChange, p.waited = now, now, false
+	p.next = max(p.next, now+seconds(1/p.rate))
+}
+
+// onWait halts the lane for a told wait; the climb clock restarts at its end.
+func (p *pace) onWait(until time.Duration) {
+	p.haltUntil = max(p.haltUntil, until)
+	p.lastChange = max(p.lastChange, p.haltUntil)
+}
+
+// onSuccess climbs one step if the interval has passed and a message waited.
+func (p *pace) onSuccess(now time.Duration) {
+	if p.rate > 0 && p.waited && now-p.lastChange >= climbInterval {
+		p.rate += p.step
+		p.lastChange, p.waited = now, false
+	}
+}
+
+// lapse unbinds a pace that has seen no refusal for long.
+func (p *pace) lapse(now time.Duration) {
+	if p.rate > 0 && now-max(p.lastRefusal, p.haltUntil) >= paceLapse {
+		p.rate, p.next = 0, 0
+	}
+}
+
+// onSend takes one call from the pace; an idle lane saves up one call and no more.
+func (p *pace) onSend(now time.Duration) {
+	p.sent.add(now, sendMemory, 1)
+	if p.rate > 0 {
+		gap := seconds(1 / p.rate)
+		p.next = max(p.next, now-gap) + gap
+	}
+}
+
+// readyAt is the earliest time for the next call.
+func (p *pace) readyAt() time.Duration { return max(p.haltUntil, p.next) }
+
+// Step takes what has come in and returns what to do about it now.
+func (s *Sender) Step(now time.Duration, events []Event) []Action {
+	s.now, s.actions = now, nil
+	for _, e := range events {
+		s.handle(e)
+	}
+	if s.now >= s.watchAt {
+		s.watchAt = never
+		s.act(Watch{})
+	}
+	s.endDue()
+	s.findSilence()
+	s.dispatch()
+	s.makeRoom()
+	s.scheduleWake()
+	return s.actions
+}
+
+func (s *Sender) handle(e Event) {
+	switch e := e.(type) {
+	case Arrived:
+		s.take(e)
+	case Withdrawn:
+		if m := s.held[e.ID]; m != nil {
+			s.forget(m)
+		}
+	case Ended:
+		s.attemptEnded(e)
+	case StreamStarted:
+		s.streamStarted(e)
+	case Probed:
+		s.probeEnded(e)
+	case Listed:
+		s.list(e)
+	case ListFailed:
+		if s.set.AskRegistry { // ask again soon, spread out: all senders may have failed at once
+			s.watchAt = s.now + seconds(s.set.AskEvery.Seconds()/8*(0.5+s.rng.Float64()))
+		}
+	case Woke:
+		if s.now >= s.wakeAt {
+			s.wakeAt = never
+		}
+	}
+}
+
+// end gives the final answer, the only place that does: a refusal where trying again is harmless, else a
+// failure.
+func (s *Sender) end(m *message) {
+	if s.mayRefuse(m) {
+		s.act(Refuse{ID: m.id, RetryAfter: s.advice(m.dest)})
+	} else {
+		s.act(Fail{ID: m.id})
+	}
+	s.forget(m)
+}
+
+func (s *Sender) mayRefuse(m *message) bool {
+	ran := m.mayRun != never || len(m.out) > 0
+	switch m.class.Effect {
+	case Safe:
+		return true
+	case Keyed:
+		return !ran || m.class.Scope == ScopeDestination
+	}
+	return !ran
+}
+
+// advice says when a refused client should come back: when the destination may be sent to again.
+func (s *Sender) advice(d *destination) time.Duration {
+	if !s.set.MayAdvise {
+		return 0
+	}
+	at := never
+	for _, ep := range d.endpoints {
+		if ep.listed {
+			at = min(at, s.gate(ep))
+		}
+	}
+	if at == never {
+		return s.set.MaxRetryAfter
+	}
+	return min(max(at-s.now, s.horizon(d)), s.set.MaxRetryAfter)
+}
+
+// endDue ends what can earn nothing more: out of time, out of attempts, or past its key's window.
+func (s *Sender) endDue() {
+	for _, d := range s.order {
+		for _, m := range slices.Clone(d.msgs) {
+			switch {
+			case m.streamed:
+			case s.now >= s.due(m), len(m.out) == 0 && s.spent(m):
+				s.end(m)
+			}
+		}
+	}
+}
+
+// due is the last moment for the final answer: the deadline, or earlier where a step may come too late.
+func (s *Sender) due(m *message) time.Duration {
+	return m.deadline - max(0, 2*s.set.Tick-s.set.AnswerGrace)
+}
+
+// spent tells whether no further attempt can ever be allowed.
+func (s *Sender) spent(m *message) bool {
+	if m.tries >= s.set.MaxAttempts {
+		return true
+	}
+	switch {
+	case m.mayRun == never || m.class.Effect == Safe:
+		return false
+	case m.class.Effect == Keyed:
+		return s.now+s.set.Tick >= m.mayRun+m.class.Window
+	}
+	return true
+}
+
+// maySend is the guard that every send passes; it holds the rules, whatever the plan says.
+func (s *Sender) maySend(m *message, ep *endpoint) bool {
+	if m.over || m.streamed || s.now >= s.due(m) || s.spent(m) || !ep.listed || ep.dest != m.dest {
+		return false
+	}
+	if s.now < ep.lane.pace.haltUntil {
+		return false
+	}
+	if len(m.out) > 0 && (!s.set.MayCopy || m.class.Effect == AtMostOnce) {
+		return false
+	}
+	if m.class.Effect == Keyed && !s.keyHolds(m, ep) {
+		return false
+	}
+	return m.order == nil || s.hasTurn(m)
+}
+
+// keyHolds tells whether a keyed message may go to ep: inside window and scope of what may have run.
+func (s *Sender) keyHolds(m *message, ep *endpoint) bool {
+	first, at := m.mayRun, m.mayRunAt
+	for _, a := range m.out {
+		if a.call.sent < first {
+			first, at = a.call.sent, a.call.ep
+		}
+	}
+	if at == nil {
+		return true
+	}
+	inScope := m.class.Scope == ScopeDestination || at == ep || m.class.Scope == ScopeZone && at.zone == ep.zone
+	return inScope && s.now+s.set.Tick < first+m.class.Window
+}
+
+// hasTurn tells whether a message is first of its key, with nothing of an earlier one still about.
+func (s *Sender) hasTurn(m *message) bool {
+	t := m.order
+	return t.queue[0] == m && t.out == len(m.out) && (s.now >= t.rest || t.restBy == m)
+}
+
+// send makes one call of the messages.
+func (s *Sender) send(ep *endpoint, msgs []*message) {
+	for _, a := range s.open(ep, msgs).attempts {
+		s.act(Send{ID: a.id, Endpoint: ep.id, Timeout: s.timeout(a.msg, ep)})
+	}
+	s.countCall(ep)
+}
+
+// countCall charges a call or probe to the pace, the trials and the ramp.
+func (s *Sender) countCall(ep *endpoint) {
+	ep.lane.pace.onSend(s.now)
+	switch ep.health {
+	case probation:
+		ep.nextTrial = s.now + s.trialGap(ep)
+		ep.lane.nextTrial = max(ep.lane.nextTrial, ep.nextTrial)
+	case ramping:
+		ep.nextRamp = max(ep.nextRamp, s.now) + seconds(1/s.rampRate(ep))
+	}
+}
+
+// timeout is how long to wait on a call. Only what may be sent again is timed out early: for the rest it
+// would buy nothing but the slot, which cancelling under pressure does (freeSlot).
+func (s *Sender) timeout(m *message, ep *endpoint) time.Duration {
+	if m.class.Effect != Safe {
+		return 0
+	}
+	return max(patience*s.lateAfter(ep), minPatience)
+}
+
+// lateAfter is the time after which an answer of the endpoint is unusually late.
+func (s *Sender) lateAfter(ep *endpoint) time.Duration {
+	if !ep.known {
+		return firstLate
+	}
+	return min(max(seconds(ep.latency+4*ep.spread), minLate), maxLate)
+}
+
+func (ep *endpoint) sample(elapsed time.Duration) {
+	x := elapsed.Seconds()
+	if !ep.known {
+		ep.latency, ep.spread, ep.known = x, x/2, true
+		return
+	}
+	ep.spread += latGain * (math.Abs(x-ep.latency) - ep.spread)
+	ep.latency += latGain * (x - ep.latency)
+}
+
+// attemptEnded takes an outcome: for its endpoint once a call, for the message always. A wait binds whoever
+// it was told to, also by the later outcomes of one call.
+func (s *Sender) attemptEnded(e Ended) {
+	if ep := s.endpoints[e.Endpoint]; ep != nil && e.Outcome == Full && e.Wait > 0 {
+		ep.lane.pace.onWait(s.now + e.Wait)
+	}
+	a := s.close(e)
+	if a == nil {
+		return
+	}
+	if !a.call.judged {
+		a.call.judged = true
+		s.judge(a.call, e)
+	}
+	s.settle(a.msg, a, e)
+}
+
+// settle decides about a message after one of its attempts.
+func (s *Sender) settle(m *message, a *attempt, e Ended) {
+	if m.over {
+		return
+	}
+	if e.Over {
+		if e.Outcome == OK {
+			m.dest.served.add(s.now, deliveredMemory, 1)
+		}
+		s.forget(m)
+		return
+	}
+	switch e.Outcome {
+	case Full, ConnectError, NotSent:
+	default:
+		if a.call.sent < m.mayRun {
+			m.mayRun, m.mayRunAt = a.call.sent, a.call.ep
+		}
+	}
+	if len(m.out) == 0 && s.spent(m) {
+		s.end(m)
+	}
+}
+
+func (s *Sender) streamStarted(e StreamStarted) {
+	if a := s.attempts[attemptKey{e.ID, e.Attempt}]; a != nil && !a.msg.over {
+		a.msg.streamed = true
+		s.succeeded(a.call.ep, a.call.sent, s.now-a.call.sent)
+		a.call.judged = true
+	}
+}
+
+// judge takes what a call's outcome says of its endpoint and lane.
+func (s *Sender) judge(c *call, e Ended) {
+	ep := c.ep
+	if e.Report.Limit > 0 {
+		ep.lane.reported = e.Report.Limit
+	}
+	switch e.Outcome {
+	case OK:
+		s.succeeded(ep, c.sent, e.Elapsed)
+	case Full:
+		s.refused(ep, c.sent, e.Wait)
+	case TimedOut:
+		ep.sample(e.Elapsed)
+		s.failed(ep, c.sent, e.Outcome)
+	case ConnectError:
+		if len(ep.calls) > 0 && ep.lastAnswer > c.sent {
+			ep.tableCap, ep.tableUntil = len(ep.calls), s.now+tableMemory // others get through: its table is full
+			return
+		}
+		s.failed(ep, c.sent, e.Outcome)
+	case Errored, Reset:
+		s.failed(ep, c.sent, e.Outcome)
+	}
+}
+
+// succeeded takes an answer. In probation only one to a call sent since it began starts the ramp: older ones
+// may have been served before the outage.
+func (s *Sender) succeeded(ep *endpoint, sent, elapsed time.Duration) {
+	ep.sample(elapsed)
+	ep.lastAnswer, ep.fails = s.now, 0
+	ep.delivered.add(s.now, deliveredMemory, 1)
+	ep.lane.refusals = 0
+	ep.lane.pace.onSuccess(s.now)
+	switch {
+	case ep.health == probation && sent >= ep.since:
+		ep.health, ep.since, ep.nextRamp = ramping, s.now, s.now
+		ep.nextRamp += seconds(1 / s.rampRate(ep))
+	case ep.health == probation && ep.symptom == TimedOut:
+		ep.nextTrial = min(ep.nextTrial, s.now+s.trialGap(ep)/2)
+	case ep.health == ramping && s.now-ep.since >= s.set.WarmUp:
+		ep.health, ep.since = healthy, s.now
+	}
+}
+
+// failed takes a failure. Two in a row, or one while not yet warm, start probation.
+// Guards against any outage that ends in a cold return; a chance pair of errors costs one ramp.
+func (s *Sender) failed(ep *endpoint, sent time.Duration, why Outcome) {
+	ep.fails++
+	switch {
+	case ep.health == probation:
+		ep.vouched = false
+	case ep.health == ramping && sent >= ep.since, ep.fails >= failStreak:
+		s.suspend(ep, why)
+	}
+}
+
+// suspend puts an endpoint on probation.
+func (s *Sender) suspend(ep *endpoint, why Outcome) {
+	if ep.health == healthy {
+		ep.base = ep.delivered.perSecond(s.now, deliveredMemory)
+	}
+	ep.health, ep.since, ep.symptom, ep.vouched = probation, s.now, why, false
+	ep.nextTrial = s.now + seconds(s.trialGap(ep).Seconds()*(0.5+s.rng.Float64()/2))
+}
+
+// refused takes a refusal as full: the pace's matter, unless it lasts, which a limit's refusals do not. Then
+// the destination is shut and comes back cold.
+func (s *Sender) refused(ep *endpoint, sent, wait time.Duration) {
+	l := ep.lane
+	l.pace.onFull(s.now, sent, s.listedRate(ep), s.set.Senders)
+	if l.refusals == 0 {
+		l.refusedAt = sent
+	}
+	l.refusals++
+	if wait < longWait && (l.refusals < refusalStreak || s.now-l.refusedAt < refusalSpan) {
+		return
+	}
+	for _, other := range ep.dest.endpoints {
+		if other.lane == l && other.health != probation {
+			s.suspend(other, Full)
+		}
+	}
+}
+
+// listedRate is what the registry or the destination itself told of the lane's limit, 0 if nothing.
+func (s *Sender) listedRate(ep *endpoint) float64 {
+	if ep.lane.reported > 0 {
+		return ep.lane.reported
+	}
+	return ep.rate
+}
+
+// findSilence puts endpoints on probation that answer nothing of what they have. A hang never refuses.
+func (s *Sender) findSilence() {
+	for _, d := range s.order {
+		for _, ep := range d.endpoints {
+			ep.lane.pace.lapse(s.now)
+			if ep.health != probation && s.quiet(ep) > silenceFactor*s.lateAfter(ep) {
+				s.suspend(ep, TimedOut)
+			}
+		}
+	}
+}
+
+// quiet is how long an endpoint with calls out has answered nothing.
+func (s *Sender) quiet(ep *endpoint) time.Duration {
+	if len(ep.calls) == 0 {
+		return 0
+	}
+	return s.now - max(ep.lastAnswer, ep.calls[0].sent)
+}
+
+// trialGap spaces trial calls so that all senders' trials together stay within a cold destination's budget.
+func (s *Sender) trialGap(ep *endpoint) time.Duration {
+	gap := s.set.FallWindow.Seconds() * float64(max(s.set.Senders, 1)) / 2
+	if capacity := max(ep.base, ep.rate/2); capacity > 0 {
+		gap = min(gap, float64(max(s.set.Senders, 1))/(s.set.OverloadFactor*s.set.ColdShare*capacity))
+	}
+	return seconds(gap)
+}
+
+// rampRate is the calls a second that a returning endpoint may get from this sender now: its own delivery
+// before, times the share of capacity that must be back by now.
+func (s *Sender) rampRate(ep *endpoint) float64 {
+	base := ep.base
+	if listed := ep.rate; listed > 0 && !s.kind(ep).RoutesApart {
+		base = max(base, listed/float64(2*max(s.set.Senders, 1)*max(len(ep.dest.endpoints), 1)))
+	} else if listed > 0 {
+		base = max(base, listed/float64(2*max(s.set.Senders, 1)))
+	}
+	warm := min(1, (s.now-ep.since).Seconds()/max(s.set.WarmUp.Seconds(), 1e-3))
+	return rampGain * max(base, rampFloor) * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
+}
+
+func (s *Sender) probeEnded(e Probed) {
+	ep := s.endpoints[e.Endpoint]
+	if ep == nil || !ep.probing {
+		return
+	}
+	ep.probing = false
+	if ep.health != probation {
+		return
+	}
+	if ep.vouched = e.Outcome == OK; ep.vouched {
+		ep.nextTrial = min(ep.nextTrial, s.now+s.trialGap(ep)/2)
+		ep.lane.nextTrial = min(ep.lane.nextTrial, ep.nextTrial)
+	}
+}
+
+// gate is the earliest time at which pace and health let a call go to an endpoint.
+func (s *Sender) gate(ep *endpoint) time.Duration {
+	at := ep.lane.pace.readyAt()
+	switch ep.health {
+	case probation:
+		at = max(at, ep.nextTrial, ep.lane.nextTrial)
+	case ramping:
+		at = max(at, ep.nextRamp)
+	}
+	return at
+}
+
+// hasRoom tells whether one more call to the endpoint leaves slots for other lanes.
+func (s *Sender) hasRoom(ep *endpoint) bool {
+	if ep.tableCap > 0 && s.now < ep.tableUntil && len(ep.calls) >= ep.tableCap {
+		return false
+	}
+	return ep.health == probation || ep.lane.inflight < max(2, int(laneShare*float64(s.set.Slots)))
+}
+
+// fits tells whether a message suits an endpoint's health: what may not be repeated stays away from one that
+// answers late, or may swallow it.
+func (s *Sender) fits(m *message, ep *endpoint) bool {
+	if len(m.out) > 0 {
+		return ep.health == healthy && m.out[0].call.ep != ep && s.overdue(m)
+	}
+	if m.class.Effect == Safe {
+		return true
+	}
+	if ep.health != probation {
+		return s.quiet(ep) <= s.lateAfter(ep)
+	}
+	return ep.vouched || ep.symptom == ConnectError || ep.symptom == Full || !s.set.MayProbe
+}
+
+// overdue tells whether a message's only attempt is so late that a copy elsewhere is worth its price.
+func (s *Sender) overdue(m *message) bool {
+	c := m.out[0].call
+	return len(m.out) == 1 && s.now-c.sent > copyAfter*s.lateAfter(c.ep)
+}
+
+// dispatch makes calls while there are slots, best first, and frees a slot if a good call finds none.
+func (s *Sender) dispatch() {
+	for {
+		var best plan
+		for _, d := range s.order {
+			if p := s.planFor(d); p.ep != nil && (best.ep == nil || p.score > best.score) {
+				best = p
+			}
+		}
+		if best.ep == nil {
+			return
+		}
+		if s.slots >= s.set.Slots {
+			s.freeSlot()
+			return
+		}
+		s.send(best.ep, best.msgs)
+	}
+}
+
+// planFor finds a destination's best call now: the cheapest endpoint that is ready, and what gains most.
+func (s *Sender) planFor(d *destination) plan {
+	if len(d.msgs) == 0 {
+		return plan{}
+	}
+	var ready []*endpoint
+	for _, ep := range d.endpoints {
+		if !ep.listed {
+			continue
+		}
+		if s.gate(ep) > s.now {
+			if ep.lane.pace.next > s.now && s.anyWaits(d) {
+				ep.lane.pace.waited = true
+			}
+		} else if s.hasRoom(ep) {
+			ready = append(ready, ep)
+		}
+	}
+	slices.SortStableFunc(ready, func(a, b *endpoint) int { return cmp.Compare(s.price(a), s.price(b)) })
+	for _, ep := range ready {
+		if p := s.fill(d, ep); p.ep != nil {
+			return p
+		}
+		if ep.health == probation && s.set.MayProbe && !ep.probing && !ep.vouched && s.anyWaits(d) {
+			ep.probing = true
+			s.act(Probe{Endpoint: ep.id})
+			s.countCall(ep)
+		}
+	}
+	return plan{}
+}
+
+// price orders endpoints: likely time to the answer, with fees turned into time. A trial costs its risk only
+// if nothing better is there.
+func (s *Sender) price(ep *endpoint) float64 {
+	t := firstLate.Seconds() / 4
+	if ep.known {
+		t = ep.latency
+	}
+	t *= 1 + float64(len(ep.calls))/2
+	if s.now-ep.lastUse > s.set.KeepAlive || len(ep.calls) >= ep.peak {
+		t += handshake.Seconds()
+	}
+	if ep.zone != s.set.Zone {
+		t += worthTime * s.set.CrossZoneCost
+	}
+	if s.kind(ep).RoutesApart && ep.zone < len(s.set.ZoneTolls) {
+		t += worthTime * s.set.ZoneTolls[ep.zone]
+	}
+	return t
+}
+
+// fill picks the messages of one call to an endpoint: those that lose most by waiting.
+func (s *Sender) fill(d *destination, ep *endpoint) plan {
+	type ranked struct {
+		m    *message
+		gain float64
+	}
+	var fit []ranked
+	horizon := s.horizon(d)
+	for _, m := range d.msgs {
+		if s.fits(m, ep) && s.maySend(m, ep) {
+			fit = append(fit, ranked{m, s.gain(m, ep, horizon)})
+		}
+	}
+	if len(fit) == 0 {
+		return plan{}
+	}
+	slices.SortStableFunc(fit, func(a, b ranked) int { return cmp.Compare(b.gain, a.gain) })
+	n := max(1, s.kind(ep).Batch)
+	if ep.health == probation {
+		n = 1
+		if i := slices.IndexFunc(fit, func(r ranked) bool { return r.m.class.Effect == Safe }); i > 0 {
+			fit[0] = fit[i] // a trial risks least with what may be repeated
+		}
+	}
+	p := plan{ep: ep}
+	for _, r := range fit[:min(n, len(fit))] {
+		p.msgs = append(p.msgs, r.m)
+		p.score += r.gain
+	}
+	p.score /= max(ep.latency, 0.05)
+	return p
+}
+
+// horizon is how long a destination's backlog takes, which is what a message not sent now waits.
+func (s *Sender) horizon(d *destination) time.Duration {
+	return min(max(seconds(s.backlog(d)), minHorizon), maxHorizon)
+}
+
+// gain is the worth lost if a message is not sent now, plus a little of its whole worth.
+func (s *Sender) gain(m *message, ep *endpoint, horizon time.Duration) float64 {
+	at := s.now + seconds(ep.latency)
+	v := s.worth(m, at)
+	return s.tenantWeight(m.tenant) * (v - s.worth(m, at+horizon) + baseUrgency*v)
+}
+
+// worth is what a message earns if delivered at a time.
+func (s *Sender) worth(m *message, at time.Duration) float64 {
+	c := m.class
+	age := c.Deadline - (m.deadline - at)
+	switch {
+	case at >= m.deadline:
+		return 0
+	case age <= c.Aim:
+		return c.Worth
+	case s.set.LateHalving:
+		return c.Worth * max(c.LateWorth, math.Exp2(-(age-c.Aim).Seconds()/max(c.Aim.Seconds(), 1e-3)))
+	}
+	return c.Worth * (1 - (1-c.LateWorth)*(age-c.Aim).Seconds()/max((c.Deadline-c.Aim).Seconds(), 1e-3))
+}
+
+// tenantWeight discounts a tenant by the part of its recent traffic that seems beyond its share. A sender
+// sees only its own traffic, so it goes by proportions.
+func (s *Sender) tenantWeight(t int) float64 {
+	if t >= len(s.arrivals) {
+		return 1
+	}
+	var quotas float64
+	for _, tenant := range s.set.Tenants {
+		quotas += tenant.Quota
+	}
+	mine, all := s.arrivals[t].perSecond(s.now, shareMemory), s.total.perSecond(s.now, shareMemory)
+	if mine <= 0 || quotas <= 0 {
+		return 1
+	}
+	within := min(1, s.set.Tenants[t].Quota/quotas*all/mine)
+	return within + (1-within)*s.set.OverShareWorth
+}
+
+// freeSlot gives up the call that has been out longest at a silent endpoint, if it is long overdue: what it
+// holds could not be sent again in time, or not at all.
+func (s *Sender) freeSlot() {
+	if !s.set.MayCancel {
+		return
+	}
+	var oldest *call
+	for _, d := range s.order {
+		for _, ep := range d.endpoints {
+			if ep.health != probation {
+				continue
+			}
+			for _, c := range ep.calls {
+				if c.cancelled {
+					return // its slot is on the way
+				}
+				if s.now-c.sent > patience*s.lateAfter(ep) && (oldest == nil || c.sent < oldest.sent) {
+					oldest = c
+				}
+			}
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	oldest.cancelled = true
+	for _, a := range oldest.attempts {
+		if s.attempts[attemptKey{a.id, a.num}] == a && !a.msg.streamed {
+			s.act(Cancel{ID: a.id, Attempt: a.num})
+		}
+	}
+}
+
+// makeRoom refuses held messages of the most backed-up destination before the holding room is full, so that
+// newcomers for others are not turned away unseen.
+func (s *Sender) makeRoom() {
+	for limit := s.set.MaxHeld - max(1, s.set.MaxHeld/roomMargin); len(s.held) > limit; {
+		var worst *destination
+		for _, d := range s.order {
+			if s.cheapest(d) != nil && (worst == nil || s.backlog(d) > s.backlog(worst)) {
+				worst = d
+			}
+		}
+		if worst == nil {
+			return
+		}
+		s.end(s.cheapest(worst))
+	}
+}
+
+// cheapest is the waiting message of a destination that is worth least, among those that may be refused.
+func (s *Sender) cheapest(d *destination) *message {
+	var least *message
+	for _, m := range d.msgs {
+		if len(m.out) == 0 && !m.streamed && s.mayRefuse(m) &&
+			(least == nil || s.worth(m, s.now) < s.worth(least, s.now)) {
+			least = m
+		}
+	}
+	return least
+}
+
+// scheduleWake asks to be woken when the next thing falls due.
+func (s *Sender) scheduleWake() {
+	next := s.watchAt
+	for _, d := range s.order {
+		for _, m := range d.msgs {
+			if !m.streamed {
+				next = min(next, s.due(m))
+			}
+		}
+		if len(d.msgs) == 0 {
+			continue
+		}
+		next = min(next, s.now+pollEvery)
+		for _, ep := range d.endpoints {
+			if at := s.gate(ep); ep.listed && at > s.now {
+				next = min(next, at)
+			}
+		}
+	}
+	if next < s.wakeAt {
+		s.wakeAt = max(next, s.now+s.set.Tick)
+		s.act(WakeAfter{After: s.wakeAt - s.now})
+	}
+}
--- /dev/null
+++ b/rules/state.go
@@ -0,0 +1,314 @@
+package rules
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// This file holds what a sender keeps in mind and how it is booked. It decides nothing.
+
+// meter measures a rate over a fading span.
+type meter struct {
+	sum  float64
+	last time.Duration
+}
+
+func (m *meter) add(now, span time.Duration, n float64) {
+	m.sum = m.sum*math.Exp(-(now-m.last).Seconds()/span.Seconds()) + n
+	m.last = now
+}
+
+func (m *meter) perSecond(now, span time.Duration) float64 {
+	return m.sum * math.Exp(-(now-m.last).Seconds()/span.Seconds()) / span.Seconds()
+}
+
+// lane is what has one limit: a destination, or an endpoint where routes are apart.
+type lane struct {
+	pace      pace
+	inflight  int
+	refusals  int           // in a row, each of a call sent after the one before was refused
+	refusedAt time.Duration // the first of them
+	nextTrial time.Duration
+	reported  float64 // limit that the destination told, shared by all senders
+}
+
+type health int
+
+const (
+	healthy   health = iota
+	probation        // sparse trial calls only
+	ramping          // back from an outage, and cold
+)
+
+// endpoint is one place that takes calls, with what this sender has seen of it.
+type endpoint struct {
+	id      EndpointID
+	zone    int
+	kind    int
+	dest    *destination
+	lane    *lane
+	listed  bool
+	rate    float64 // listed rate
+	calls   []*call // out, oldest first
+	latency float64 // seconds, smoothed
+	spread  float64
+	known   bool // latency has a sample
+
+	health     health
+	symptom    Outcome
+	since      time.Duration // when the present health began
+	fails      int           // in a row
+	lastAnswer time.Duration
+	delivered  meter
+	base       float64 // calls a second delivered before the outage
+	nextTrial  time.Duration
+	nextRamp   time.Duration
+	probing    bool
+	vouched    bool // a probe went well in this probation
+
+	peak       int // most calls out at once while connections stayed open
+	lastUse    time.Duration
+	tableCap   int // calls at once that its connection table seems to take; 0 unknown
+	tableUntil time.Duration
+}
+
+type destination struct {
+	endpoints []*endpoint
+	msgs      []*message // held, in order of arrival
+	served    meter
+}
+
+// call is what travels at once: the messages sent to one endpoint in one step.
+type call struct {
+	ep        *endpoint
+	sent      time.Duration
+	attempts  []*attempt
+	open      int // attempts without an outcome
+	judged    bool
+	trial     bool
+	cancelled bool
+}
+
+type attempt struct {
+	id   MessageID
+	num  int
+	call *call
+	msg  *message
+}
+
+type attemptKey struct {
+	id  MessageID
+	num int
+}
+
+type message struct {
+	id       MessageID
+	dest     *destination
+	class    *Class
+	tenant   int
+	order    *turn
+	deadline time.Duration
+	tries    int
+	out      []*attempt
+	mayRun   time.Duration // send time of the earliest attempt that may have run; never if none
+	mayRunAt *endpoint
+	streamed bool
+	over     bool
+}
+
+// turn keeps the order of one key.
+type turn struct {
+	queue  []*message
+	out    int // attempts out, of all its messages
+	rest   time.Duration
+	restBy *message
+}
+
+// Sender decides for one sender; it knows only what its own events told it.
+type Sender struct {
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	endpoints map[EndpointID]*endpoint
+	dests     map[int]*destination
+	order     []*destination // in the order first heard of
+	held      map[MessageID]*message
+	attempts  map[attemptKey]*attempt
+	turns     map[string]*turn
+	slots     int // in use
+	arrivals  []meter
+	total     meter
+	wakeAt    time.Duration
+	watchAt   time.Duration
+	actions   []Action
+}
+
+// New returns a sender that knows nothing but its settings.
+func New(set Settings) *Sender {
+	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never,
+		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
+		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, arrivals: make([]meter, len(set.Tenants))}
+	if set.AskRegistry {
+		s.watchAt = 0
+	}
+	return s
+}
+
+func (s *Sender) act(a Action) { s.actions = append(s.actions, a) }
+
+func (s *Sender) destination(n int) *destination {
+	d := s.dests[n]
+	if d == nil {
+		d = &destination{}
+		s.dests[n] = d
+		s.order = append(s.order, d)
+	}
+	return d
+}
+
+func (s *Sender) kind(ep *endpoint) Kind {
+	if ep.kind < len(s.set.Kinds) {
+		return s.set.Kinds[ep.kind]
+	}
+	return Kind{Batch: 1}
+}
+
+// take accepts a message; from here on one final answer is owed.
+func (s *Sender) take(e Arrived) {
+	m := &message{id: e.ID, dest: s.destination(e.Destination), class: &s.set.Classes[e.Class], tenant: e.Tenant,
+		deadline: s.now + e.TimeLeft, mayRun: never}
+	if m.class.KeepOrder && e.OrderKey != "" {
+		if m.order = s.turns[e.OrderKey]; m.order == nil {
+			m.order = &turn{}
+			s.turns[e.OrderKey] = m.order
+		}
+		m.order.queue = append(m.order.queue, m)
+	}
+	s.held[m.id] = m
+	m.dest.msgs = append(m.dest.msgs, m)
+	s.total.add(s.now, shareMemory, 1)
+	if e.Tenant < len(s.arrivals) {
+		s.arrivals[e.Tenant].add(s.now, shareMemory, 1)
+	}
+}
+
+// forget drops a message that is over; outcomes of its attempts may still come.
+func (s *Sender) forget(m *message) {
+	m.over = true
+	delete(s.held, m.id)
+	m.dest.msgs = without(m.dest.msgs, m)
+	if m.order != nil {
+		m.order.queue = without(m.order.queue, m)
+	}
+}
+
+// list brings the endpoints up to date. A drained or missing one gets nothing new from this step on.
+func (s *Sender) list(e Listed) {
+	if e.Whole {
+		for _, d := range s.order {
+			for _, ep := range d.endpoints {
+				ep.listed = false
+			}
+		}
+	}
+	for _, entry := range e.Entries {
+		ep := s.endpoints[entry.Endpoint]
+		if ep == nil {
+			d := s.destination(entry.Destination)
+			ep = &endpoint{id: entry.Endpoint, dest: d, kind: entry.Kind, lane: &lane{}}
+			if !s.kind(ep).RoutesApart && len(d.endpoints) > 0 {
+				ep.lane = d.endpoints[0].lane
+			}
+			s.endpoints[entry.Endpoint] = ep
+			d.endpoints = append(d.endpoints, ep)
+		}
+		ep.zone, ep.rate, ep.listed = entry.Zone, 0, !entry.Draining && !entry.Gone
+		if s.set.RatesListed {
+			ep.rate = entry.ListedRate
+		}
+	}
+}
+
+func seconds(x float64) time.Duration { return time.Duration(min(x, 1e6) * float64(time.Second)) }
+
+func without[T comparable](list []T, x T) []T {
+	if i := slices.Index(list, x); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+func (s *Sender) anyWaits(d *destination) bool {
+	return slices.ContainsFunc(d.msgs, func(m *message) bool { return len(m.out) == 0 })
+}
+
+// pace is the design's AIMD limiter: calls a second for one lane, unbounded (rate 0) until a refusal.
+type pace struct {
+	rate, step          float64
+	lastCut, lastChange time.Duration
+	lastRefusal         time.Duration
+	waited              bool          // a message waited for the pace since the last change
+	next                time.Duration // the next call may leave now
+	haltUntil           time.Duration // a told wait
+	sent, refused       meter
+}
+
+// plan is a call that could be made now.
+type plan struct {
+	ep    *endpoint
+	msgs  []*message
+	score float64
+}
+
+// open books a call of the messages to an endpoint.
+func (s *Sender) open(ep *endpoint, msgs []*message) *call {
+	c := &call{ep: ep, sent: s.now, open: len(msgs)}
+	for _, m := range msgs {
+		a := &attempt{id: m.id, num: m.tries, call: c, msg: m}
+		m.tries++
+		m.out = append(m.out, a)
+		if m.order != nil {
+			m.order.out++
+		}
+		c.attempts = append(c.attempts, a)
+		s.attempts[attemptKey{a.id, a.num}] = a
+	}
+	if s.now-ep.lastUse > s.set.KeepAlive {
+		ep.peak = 0
+	}
+	ep.calls = append(ep.calls, c)
+	ep.lane.inflight++
+	s.slots++
+	ep.peak, ep.lastUse = max(ep.peak, len(ep.calls)), s.now
+	return c
+}
+
+// close books the outcome of an attempt and returns it, nil for one not known or told before.
+func (s *Sender) close(e Ended) *attempt {
+	key := attemptKey{e.ID, e.Attempt}
+	a := s.attempts[key]
+	if a == nil {
+		return nil
+	}
+	delete(s.attempts, key)
+	m, c := a.msg, a.call
+	m.out = without(m.out, a)
+	if m.order != nil {
+		m.order.out--
+		if e.Outcome == TimedOut || e.Outcome == Reset || e.Outcome == Cancelled {
+			m.order.rest, m.order.restBy = s.now+s.set.OrderPause, m
+		}
+	}
+	if c.open--; c.open == 0 {
+		c.ep.calls = without(c.ep.calls, c)
+		c.ep.lane.inflight--
+		s.slots--
+	}
+	return a
+}
+
+// backlog is how many seconds a destination's held messages take at its recent rate.
+func (s *Sender) backlog(d *destination) float64 {
+	return float64(len(d.msgs)) / max(d.served.perSecond(s.now, deliveredMemory), 1e-3)
+}
