--- a/rules/rules.go
+++ b/rules/rules.go
@@ -113,6 +113,9 @@
 // Step takes what has come in and returns what to do about it now.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
 	s.now, s.actions = now, nil
+	if now >= s.wakeAt {
+		s.wakeAt = never
+	}
 	for _, e := range events {
 		s.handle(e)
 	}
@@ -148,10 +151,6 @@
 		if s.set.AskRegistry { // ask again soon, spread out: all senders may have failed at once
 			s.watchAt = s.now + seconds(s.set.AskEvery.Seconds()/8*(0.5+s.rng.Float64()))
 		}
-	case Woke:
-		if s.now >= s.wakeAt {
-			s.wakeAt = never
-		}
 	}
 }
 
@@ -782,7 +781,7 @@
 		}
 	}
 	if next < s.wakeAt {
-		s.wakeAt = max(next, s.now+s.set.Tick)
+		s.wakeAt = (max(next, s.now+s.set.Tick) + time.Microsecond - 1).Truncate(time.Microsecond)
 		s.act(WakeAfter{After: s.wakeAt - s.now})
 	}
 }
