--- a/rules/rules.go
+++ b/rules/rules.go
@@ -286,7 +286,7 @@
 // timeout is how long to wait on a call. Only what may be sent again is timed out early: for the rest it
 // would buy nothing but the slot, which cancelling under pressure does (freeSlot).
 func (s *Sender) timeout(m *message, ep *endpoint) time.Duration {
-	if m.class.Effect != Safe {
+	if m.class.Effect == AtMostOnce {
 		return 0
 	}
 	return max(patience*s.lateAfter(ep), minPatience)
@@ -699,8 +699,9 @@
 	return within + (1-within)*s.set.OverShareWorth
 }
 
-// freeSlot gives up the call that has been out longest at a silent endpoint, if it is long overdue: what it
-// holds could not be sent again in time, or not at all.
+// freeSlot gives up the call that has been out longest, if it is long overdue. Guards against calls that are
+// never answered, at a silent endpoint or at one that answers the rest, filling every slot; where answers
+// are merely slow, it may give up one that would still have come.
 func (s *Sender) freeSlot() {
 	if !s.set.MayCancel {
 		return
@@ -708,9 +709,6 @@
 	var oldest *call
 	for _, d := range s.order {
 		for _, ep := range d.endpoints {
-			if ep.health != probation {
-				continue
-			}
 			for _, c := range ep.calls {
 				if c.cancelled {
 					return // its slot is on the way
