--- a/rules/rules.go
+++ b/rules/rules.go
@@ -27,6 +27,7 @@
 	failStreak      = 2                       // failures in a row that are not chance
 	refusalStreak   = 3                       // refusals in a row without a success: shut rather than full
 	refusalSpan     = 1500 * time.Millisecond // and over at least this long; a limit frees room sooner
+	briefTrouble    = 3 * time.Second         // trouble shorter than this leaves nothing cold
 	longWait        = 2 * time.Second         // a told wait beyond a limit's own: the destination is shut
 	silenceFactor   = 2                       // silence, in late-answer times, that counts as an outage
 	rampGain        = 1.0                     // of what was delivered before, times the share that is warm
@@ -277,7 +278,6 @@
 	switch ep.health {
 	case probation:
 		ep.nextTrial = s.now + s.trialGap(ep)
-		ep.lane.nextTrial = max(ep.lane.nextTrial, ep.nextTrial)
 	case ramping:
 		ep.nextRamp = max(ep.nextRamp, s.now) + seconds(1/s.rampRate(ep))
 	}
@@ -289,7 +289,7 @@
 	if m.class.Effect == AtMostOnce {
 		return 0
 	}
-	return max(patience*s.lateAfter(ep), minPatience)
+	return max(seconds(s.lateAfter(ep).Seconds()*patience*(1+float64(min(ep.fails, 4))/2)), minPatience)
 }
 
 // lateAfter is the time after which an answer of the endpoint is unusually late.
@@ -371,8 +371,10 @@
 	case Full:
 		s.refused(ep, c.sent, e.Wait)
 	case TimedOut:
-		ep.sample(e.Elapsed)
+		s.act(CloseIdle{Endpoint: ep.id})
 		s.failed(ep, c.sent, e.Outcome)
+	case Cancelled:
+		s.act(CloseIdle{Endpoint: ep.id})
 	case ConnectError:
 		if len(ep.calls) > 0 && ep.lastAnswer > c.sent {
 			ep.tableCap, ep.tableUntil = len(ep.calls), s.now+tableMemory // others get through: its table is full
@@ -393,6 +395,8 @@
 	ep.lane.refusals = 0
 	ep.lane.pace.onSuccess(s.now)
 	switch {
+	case ep.health == probation && sent >= ep.since && sent-ep.failing < briefTrouble:
+		ep.health, ep.since = healthy, s.now
 	case ep.health == probation && sent >= ep.since:
 		ep.health, ep.since, ep.nextRamp = ramping, s.now, s.now
 		ep.nextRamp += seconds(1 / s.rampRate(ep))
@@ -406,7 +410,9 @@
 // failed takes a failure. Two in a row, or one while not yet warm, start probation.
 // Guards against any outage that ends in a cold return; a chance pair of errors costs one ramp.
 func (s *Sender) failed(ep *endpoint, sent time.Duration, why Outcome) {
-	ep.fails++
+	if ep.fails++; ep.fails == 1 {
+		ep.failing = sent
+	}
 	switch {
 	case ep.health == probation:
 		ep.vouched = false
@@ -421,7 +427,7 @@
 		ep.base = ep.delivered.perSecond(s.now, deliveredMemory)
 	}
 	ep.health, ep.since, ep.symptom, ep.vouched = probation, s.now, why, false
-	ep.nextTrial = s.now + seconds(s.trialGap(ep).Seconds()*(0.5+s.rng.Float64()/2))
+	ep.nextTrial = s.now // the first at once: it may be a chance pair, or one dead connection
 }
 
 // refused takes a refusal as full: the pace's matter, unless it lasts, which a limit's refusals do not. Then
@@ -457,12 +463,34 @@
 		for _, ep := range d.endpoints {
 			ep.lane.pace.lapse(s.now)
 			if ep.health != probation && s.quiet(ep) > silenceFactor*s.lateAfter(ep) {
+				ep.failing = max(ep.lastAnswer, ep.calls[0].sent)
 				s.suspend(ep, TimedOut)
+				s.withdraw(ep)
 			}
 		}
 	}
 }
 
+// withdraw calls off what an endpoint has left unanswered and may be sent again, so that it goes out anew on
+// a fresh connection. Guards against connections that died unnoticed while their endpoint is well; at an
+// endpoint that is merely slow it wastes the work begun.
+func (s *Sender) withdraw(ep *endpoint) {
+	for _, c := range ep.calls {
+		if s.set.MayCancel && !c.cancelled && c.attempts[0].msg.class.Effect != AtMostOnce {
+			s.cancel(c)
+		}
+	}
+}
+
+func (s *Sender) cancel(c *call) {
+	c.cancelled = true
+	for _, a := range c.attempts {
+		if s.attempts[attemptKey{a.id, a.num}] == a && !a.msg.streamed {
+			s.act(Cancel{ID: a.id, Attempt: a.num})
+		}
+	}
+}
+
 // quiet is how long an endpoint with calls out has answered nothing.
 func (s *Sender) quiet(ep *endpoint) time.Duration {
 	if len(ep.calls) == 0 {
@@ -477,6 +505,9 @@
 	if capacity := max(ep.base, ep.rate/2); capacity > 0 {
 		gap = min(gap, float64(max(s.set.Senders, 1))/(s.set.OverloadFactor*s.set.ColdShare*capacity))
 	}
+	if !s.kind(ep).RoutesApart {
+		gap *= float64(max(1, len(ep.dest.endpoints)))
+	}
 	return seconds(gap)
 }
 
@@ -504,7 +535,6 @@
 	}
 	if ep.vouched = e.Outcome == OK; ep.vouched {
 		ep.nextTrial = min(ep.nextTrial, s.now+s.trialGap(ep)/2)
-		ep.lane.nextTrial = min(ep.lane.nextTrial, ep.nextTrial)
 	}
 }
 
@@ -513,7 +543,7 @@
 	at := ep.lane.pace.readyAt()
 	switch ep.health {
 	case probation:
-		at = max(at, ep.nextTrial, ep.lane.nextTrial)
+		at = max(at, ep.nextTrial)
 	case ramping:
 		at = max(at, ep.nextRamp)
 	}
@@ -719,14 +749,8 @@
 			}
 		}
 	}
-	if oldest == nil {
-		return
-	}
-	oldest.cancelled = true
-	for _, a := range oldest.attempts {
-		if s.attempts[attemptKey{a.id, a.num}] == a && !a.msg.streamed {
-			s.act(Cancel{ID: a.id, Attempt: a.num})
-		}
+	if oldest != nil {
+		s.cancel(oldest)
 	}
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -30,8 +30,7 @@
 	inflight  int
 	refusals  int           // in a row, each of a call sent after the one before was refused
 	refusedAt time.Duration // the first of them
-	nextTrial time.Duration
-	reported  float64 // limit that the destination told, shared by all senders
+	reported  float64       // limit that the destination told, shared by all senders
 }
 
 type health int
@@ -60,6 +59,7 @@
 	symptom    Outcome
 	since      time.Duration // when the present health began
 	fails      int           // in a row
+	failing    time.Duration // since when
 	lastAnswer time.Duration
 	delivered  meter
 	base       float64 // calls a second delivered before the outage
