Start trials close together; only silence counts as brief trouble

Trials now start at half the trouble's age, on a fresh connection; errors still need a full gap and a ramp.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -395,7 +395,7 @@
 	ep.lane.refusals = 0
 	ep.lane.pace.onSuccess(s.now)
 	switch {
-	case ep.health == probation && sent >= ep.since && sent-ep.failing < briefTrouble:
+	case ep.health == probation && sent >= ep.since && sent-ep.failing < briefTrouble && ep.unanswered():
 		ep.health, ep.since = healthy, s.now
 	case ep.health == probation && sent >= ep.since:
 		ep.health, ep.since, ep.nextRamp = ramping, s.now, s.now
@@ -410,6 +410,9 @@
 // failed takes a failure. Two in a row, or one while not yet warm, start probation.
 // Guards against any outage that ends in a cold return; a chance pair of errors costs one ramp.
 func (s *Sender) failed(ep *endpoint, sent time.Duration, why Outcome) {
+	if why == TimedOut && ep.lastAnswer > sent {
+		return // one call lost where others are answered
+	}
 	if ep.fails++; ep.fails == 1 {
 		ep.failing = sent
 	}
@@ -427,9 +430,17 @@
 		ep.base = ep.delivered.perSecond(s.now, deliveredMemory)
 	}
 	ep.health, ep.since, ep.symptom, ep.vouched = probation, s.now, why, false
-	ep.nextTrial = s.now // the first at once: it may be a chance pair, or one dead connection
+	ep.nextTrial = s.now
+	if ep.unanswered() { // the first trial at once, on a fresh connection: only the old ones may be dead
+		s.act(CloseIdle{Endpoint: ep.id})
+	} else {
+		ep.nextTrial += s.trialGap(ep)
+	}
 }
 
+// unanswered tells whether an endpoint is on probation for silence, not for what it answered.
+func (ep *endpoint) unanswered() bool { return ep.symptom == TimedOut || ep.symptom == ConnectError }
+
 // refused takes a refusal as full: the pace's matter, unless it lasts, which a limit's refusals do not. Then
 // the destination is shut and comes back cold.
 func (s *Sender) refused(ep *endpoint, sent, wait time.Duration) {
@@ -464,8 +475,8 @@
 			ep.lane.pace.lapse(s.now)
 			if ep.health != probation && s.quiet(ep) > silenceFactor*s.lateAfter(ep) {
 				ep.failing = max(ep.lastAnswer, ep.calls[0].sent)
-				s.suspend(ep, TimedOut)
 				s.withdraw(ep)
+				s.suspend(ep, TimedOut)
 			}
 		}
 	}
@@ -508,7 +519,7 @@
 	if !s.kind(ep).RoutesApart {
 		gap *= float64(max(1, len(ep.dest.endpoints)))
 	}
-	return seconds(gap)
+	return min(seconds(gap), max(s.now-ep.failing, minLate)/2) // young trouble cannot have left anything cold
 }
 
 // rampRate is the calls a second that a returning endpoint may get from this sender now: its own delivery
