--- /dev/null
+++ b/cmd/simhost/main_test.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const env = `{"allowed":{"connect_timeout_us":1000000,"keepalive_us":10000000,"max_attempts":4,"max_open":20,` +
+	`"max_retry_after_us":3000000,"may_cancel":true,"probes":true,"retry_after":true,"second_copies":true},"az":0,` +
+	`"balancers":2,"extra":{"batch_by_kind":[1],"late":"halving","routes_apart":[false],"slots":4,"toll":[0]},` +
+	`"flavors":["any"],"registry_mode":"push","request_classes":[{"deadline_us":2000000,"effect":"idempotent",` +
+	`"goal_time_us":500000,"late_worth":0.4,"worth":1},{"deadline_us":2000000,"effect":"at_most_once",` +
+	`"goal_time_us":500000,"late_worth":0.4,"worth":1}],"safety":{"cold_share":0.2,"drain_grace_us":500000,` +
+	`"fall_us":2000000,"grace_to_answer_us":20000,"overload_factor":2,"warm_up_us":9000000},"tick_us":5000,` +
+	`"weights":"rough","some_new_key":[1,2]}`
+
+// start is a batch in which two instances start with one endpoint each.
+const start = `{"verb":"batch","moment_us":1000000}
+{"verb":"power_on","sender_id":0,"nonce64":1,"env":` + env + `}
+{"verb":"catalog","ref":3,"elements":[{"campus":0,"endpoint":77,"capacity_hint":2,"flavor":0,"destination":5,"readiness":"healthy"}]}
+{"verb":"directory_update","sender_id":0,"kind":"disk","ref":3,"rev":1}
+{"verb":"power_on","sender_id":1,"nonce64":2,"env":` + env + `}
+{"verb":"directory_update","sender_id":1,"kind":"disk","ref":3,"rev":1}
+{"verb":"flush"}
+`
+
+// buildHost builds the adapter by the deploy file's own line and returns its path.
+func buildHost(t *testing.T) string {
+	t.Helper()
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, ok := strings.Cut(string(text), `build = "`)
+	line, _, closed := strings.Cut(rest, "\"\n")
+	if !ok || !closed || !strings.Contains(line, "bin/") {
+		t.Fatalf("no build line in the deploy file: %q", line)
+	}
+	dir := t.TempDir()
+	cmd := exec.Command("/bin/sh", "-c", strings.ReplaceAll(line, "bin/", dir+"/"))
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return filepath.Join(dir, "simhost")
+}
+
+type reply map[string]any
+
+// drive feeds the built adapter and returns its replies, batch by batch, and how it ended.
+func drive(t *testing.T, host, input string) (replies [][]reply, stderr string, err error) {
+	t.Helper()
+	cmd := exec.Command(host)
+	cmd.Stdin = strings.NewReader(input)
+	var out, fault bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &fault
+	err = cmd.Run()
+	var batch []reply
+	for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		if line == "" {
+			continue
+		}
+		var r reply
+		if e := json.Unmarshal([]byte(line), &r); e != nil {
+			t.Fatalf("reply %q: %v", line, e)
+		}
+		if r["verb"] == "yield" {
+			replies, batch = append(replies, batch), nil
+			continue
+		}
+		batch = append(batch, r)
+	}
+	return replies, fault.String(), err
+}
+
+func only(batch []reply, verb string) []reply {
+	var out []reply
+	for _, r := range batch {
+		if r["verb"] == verb {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func TestBuiltAdapterOverATranscript(t *testing.T) {
+	host := buildHost(t)
+	input := `{"verb":"batch","moment_us":1000000}
+{"verb":"flush"}
+` + start + `{"verb":"batch","moment_us":1100000}
+{"verb":"new_request","sender_id":1,"txn":"r-1","dest":5,"service":0,"grace_us":2000000,"some_new_field":1}
+{"verb":"new_request","sender_id":0,"txn":"r-2","dest":5,"service":1,"grace_us":2000000}
+{"verb":"new_request","sender_id":0,"txn":"r-3","dest":6,"service":1,"grace_us":50000}
+{"verb":"flush"}
+{"verb":"batch","moment_us":1200000}
+{"verb":"answer","sender_id":1,"txn":"r-1","round_no":0,"endpoint":77,"ending":"Ok","time_taken_us":90000,"closed":true}
+{"verb":"answer","sender_id":0,"txn":"r-2","round_no":0,"endpoint":77,"ending":"ResetByPeer","time_taken_us":90000}
+{"verb":"wakeup","sender_id":0,"key_back":0}
+{"verb":"inbox","sender_id":0,"sender":1,"bytes":"x"}
+{"verb":"flush"}
+{"verb":"batch","moment_us":1300000}
+{"verb":"answer","sender_id":1,"txn":"r-1","round_no":0,"endpoint":77,"ending":"Ok","time_taken_us":90000,"closed":true}
+{"verb":"vanished","sender_id":1,"txn":"r-1"}
+{"verb":"crash_now","sender_id":0}
+{"verb":"power_on","sender_id":0,"nonce64":3,"env":` + env + `}
+{"verb":"directory_update","sender_id":0,"kind":"disk","ref":3,"rev":1}
+{"verb":"new_request","sender_id":0,"txn":"r-4","dest":5,"service":0,"grace_us":2000000}
+{"verb":"flush"}
+`
+	replies, stderr, err := drive(t, host, input)
+	if err != nil || stderr != "" {
+		t.Fatalf("ended with %v: %s", err, stderr)
+	}
+	if len(replies) != 5 || len(replies[0])+len(replies[1]) != 0 {
+		t.Fatalf("%d replies, want 5, the first two empty: %v", len(replies), replies)
+	}
+	tries := only(replies[2], "try")
+	if len(tries) != 2 || tries[0]["txn"] != "r-1" || tries[0]["sender_id"] != 1.0 || tries[0]["endpoint"] != 77.0 ||
+		tries[1]["txn"] != "r-2" {
+		t.Errorf("first tries: %v", tries)
+	}
+	if got := only(replies[2], "wake_at"); len(got) == 0 {
+		t.Error("no wake-up asked for with messages held")
+	}
+	if got := only(replies[3], "finish_error"); len(got) != 1 || got[0]["txn"] != "r-2" {
+		t.Errorf("a reset at-most-once message should be failed once: %v", replies[3])
+	}
+	if got := only(replies[3], "deny"); len(got) != 1 || got[0]["txn"] != "r-3" {
+		t.Errorf("an unsent message out of time should be refused: %v", replies[3])
+	}
+	if got := only(replies[4], "try"); len(replies[4]) == 0 || len(got) != 1 || got[0]["txn"] != "r-4" {
+		t.Errorf("the restarted instance should send its own message only: %v", replies[4])
+	}
+}
+
+func TestBadInputStopsTheAdapter(t *testing.T) {
+	host := buildHost(t)
+	batch := start + `{"verb":"batch","moment_us":1100000}` + "\n"
+	for name, c := range map[string]struct{ input, want string }{
+		"not JSON":        {"nonsense\n", "line 1: not a JSON object"},
+		"no verb":         {"{}\n", "line 1: no verb"},
+		"outside a batch": {`{"verb":"wakeup","sender_id":0,"key_back":1}` + "\n", `line 1: "wakeup" outside a batch`},
+		"unknown verb":    {batch + `{"verb":"sing","sender_id":0}` + "\n", `line 9: unknown verb "sing"`},
+		"missing field":   {batch + `{"verb":"new_request","sender_id":0,"txn":"a","dest":5,"service":0}` + "\n", "line 9: new_request: no grace_us"},
+		"mistyped field":  {batch + `{"verb":"vanished","sender_id":0,"txn":7}` + "\n", "line 9: vanished: "},
+		"no sender":       {batch + `{"verb":"vanished","txn":"a"}` + "\n", "line 9: vanished: no sender_id"},
+		"unknown ending": {batch + `{"verb":"answer","sender_id":0,"txn":"a","round_no":0,"endpoint":77,"ending":"Odd","time_taken_us":1}` + "\n",
+			`line 9: answer: unknown ending "Odd"`},
+		"unknown list":       {batch + `{"verb":"directory_update","sender_id":0,"kind":"diff","ref":9,"rev":2}` + "\n", "line 9: directory_update: unknown list number 9"},
+		"never started":      {batch + `{"verb":"wakeup","sender_id":4,"key_back":1}` + "\n" + `{"verb":"flush"}` + "\n", "line 9: event for instance 4"},
+		"ends inside":        {batch, "input ends inside a batch"},
+		"bad effect":         {strings.ReplaceAll(start, "idempotent", "sometimes"), `line 2: power_on: env: class 0: unknown effect "sometimes"`},
+		"bad list readiness": {strings.ReplaceAll(start, "healthy", "fine"), `line 3: catalog: element 0: unknown readiness "fine"`},
+	} {
+		_, stderr, err := drive(t, host, c.input)
+		if _, failed := err.(*exec.ExitError); !failed {
+			t.Errorf("%s: ended with %v, want a non-zero exit", name, err)
+		}
+		if !strings.Contains(stderr, c.want) || strings.Count(stderr, "\n") != 1 {
+			t.Errorf("%s: said %q, want one line with %q", name, stderr, c.want)
+		}
+	}
+}
+
+func TestPanicBecomesDie(t *testing.T) {
+	host := buildHost(t)
+	input := start + `{"verb":"batch","moment_us":1100000}
+{"verb":"new_request","sender_id":0,"txn":"a","dest":5,"service":99,"grace_us":2000000}
+{"verb":"new_request","sender_id":1,"txn":"b","dest":5,"service":0,"grace_us":2000000}
+{"verb":"flush"}
+`
+	replies, _, err := drive(t, host, input)
+	if err != nil || len(replies) != 2 {
+		t.Fatalf("ended with %v after %d replies", err, len(replies))
+	}
+	die := only(replies[1], "die")
+	if len(die) != 1 || die[0]["sender_id"] != 0.0 || !strings.Contains(die[0]["note_text"].(string), "out of range") {
+		t.Errorf("got %v, want one die with the panic's text", replies[1])
+	}
+	if got := only(replies[1], "try"); len(got) != 1 || got[0]["txn"] != "b" {
+		t.Errorf("the other instance should go on: %v", replies[1])
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -245,12 +245,7 @@
 
 // keyHolds tells whether a keyed message may go to ep: inside window and scope of what may have run.
 func (s *Sender) keyHolds(m *message, ep *endpoint) bool {
-	first, at := m.mayRun, m.mayRunAt
-	for _, a := range m.out {
-		if a.call.sent < first {
-			first, at = a.call.sent, a.call.ep
-		}
-	}
+	first, at := m.firstRun()
 	if at == nil {
 		return true
 	}
@@ -502,14 +497,6 @@
 	}
 }
 
-// quiet is how long an endpoint with calls out has answered nothing.
-func (s *Sender) quiet(ep *endpoint) time.Duration {
-	if len(ep.calls) == 0 {
-		return 0
-	}
-	return s.now - max(ep.lastAnswer, ep.calls[0].sent)
-}
-
 // trialGap spaces trial calls so that all senders' trials together stay within a cold destination's budget.
 func (s *Sender) trialGap(ep *endpoint) time.Duration {
 	gap := s.set.FallWindow.Seconds() * float64(max(s.set.Senders, 1)) / 2
@@ -525,14 +512,13 @@
 // rampRate is the calls a second that a returning endpoint may get from this sender now: its own delivery
 // before, times the share of capacity that must be back by now.
 func (s *Sender) rampRate(ep *endpoint) float64 {
-	base := ep.base
-	if listed := ep.rate; listed > 0 && !s.kind(ep).RoutesApart {
-		base = max(base, listed/float64(2*max(s.set.Senders, 1)*max(len(ep.dest.endpoints), 1)))
-	} else if listed > 0 {
-		base = max(base, listed/float64(2*max(s.set.Senders, 1)))
+	peers := max(s.set.Senders, 1)
+	if !s.kind(ep).RoutesApart {
+		peers *= max(len(ep.dest.endpoints), 1)
 	}
+	base := max(ep.base, ep.rate/float64(2*peers), rampFloor)
 	warm := min(1, (s.now-ep.since).Seconds()/max(s.set.WarmUp.Seconds(), 1e-3))
-	return rampGain * max(base, rampFloor) * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
+	return rampGain * base * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
 }
 
 func (s *Sender) probeEnded(e Probed) {
@@ -575,6 +561,9 @@
 	if len(m.out) > 0 {
 		return ep.health == healthy && m.out[0].call.ep != ep && s.overdue(m)
 	}
+	if ep.health == probation && m.tries+1 >= s.set.MaxAttempts {
+		return false // its last attempt is for a better time
+	}
 	if m.class.Effect == Safe {
 		return true
 	}
@@ -728,15 +717,11 @@
 	if t >= len(s.arrivals) {
 		return 1
 	}
-	var quotas float64
-	for _, tenant := range s.set.Tenants {
-		quotas += tenant.Quota
-	}
 	mine, all := s.arrivals[t].perSecond(s.now, shareMemory), s.total.perSecond(s.now, shareMemory)
-	if mine <= 0 || quotas <= 0 {
+	if mine <= 0 || s.quotas <= 0 {
 		return 1
 	}
-	within := min(1, s.set.Tenants[t].Quota/quotas*all/mine)
+	within := min(1, s.set.Tenants[t].Quota/s.quotas*all/mine)
 	return within + (1-within)*s.set.OverShareWorth
 }
 
--- /dev/null
+++ b/rules/rules_test.go
@@ -0,0 +1,857 @@
+package rules
+
+import (
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+func withWait(d time.Duration) func(*Ended) { return func(e *Ended) { e.Wait = d } }
+
+// Rule 1: one final answer, in time, and nothing sent after it.
+
+func TestOneAnswerAtTheDeadline(t *testing.T) {
+	for _, class := range []int{safe, once, keyed, ordered} {
+		b := newBench(t, nil)
+		b.take(class)
+		out := b.wait(16*sec + 20*ms)
+		if got := finals(out); got != 1 {
+			t.Errorf("class %d: %d final answers by the grace's end, want 1", class, got)
+		}
+		if got := b.wait(5 * sec); len(got) != 0 {
+			t.Errorf("class %d: acted after the answer: %v", class, got)
+		}
+	}
+}
+
+func TestAnswerBeforeALongTick(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.Tick = 100 * ms }, Entry{Endpoint: 11, Destination: 2})
+	b.take(safe)
+	b.now += 16*sec - 150*ms
+	if got := finals(b.step(Woke{})); got != 1 {
+		t.Errorf("%d answers at the last step in time, want 1", got)
+	}
+}
+
+func TestClockJumpStillAnswersAll(t *testing.T) {
+	b := newBench(t, nil, Entry{Endpoint: 11, Destination: 2})
+	for range 5 {
+		b.take(safe)
+	}
+	b.now += 60 * sec
+	if got := finals(b.step(Woke{})); got != 5 {
+		t.Errorf("%d answers after a jump, want 5", got)
+	}
+}
+
+func TestWakeUpIsNeverLost(t *testing.T) {
+	b := newBench(t, nil, Entry{Endpoint: 11, Destination: 2})
+	id := b.arrive(safe)
+	b.s.endpoints[11].lane.pace.next = b.now + 333*time.Nanosecond // not whole microseconds
+	b.step(Arrived{ID: id, Destination: 1, Class: safe, TimeLeft: 16 * sec})
+	var due []time.Duration // the wake-ups asked for, cut to microseconds as a wire would
+	seen := 0
+	for range 2000 {
+		for _, w := range pick[WakeAfter](b.log[seen:]) {
+			due = append(due, b.now+w.After.Truncate(time.Microsecond))
+		}
+		seen = len(b.log)
+		if len(due) == 0 {
+			t.Fatal("no wake-up pending while a message is held")
+		}
+		slices.Sort(due)
+		b.now, due = due[0], due[1:]
+		if finals(b.step(Woke{})) == 1 {
+			return
+		}
+	}
+	t.Fatal("message never answered")
+}
+
+func TestWithdrawnGetsNoAnswer(t *testing.T) {
+	b := newBench(t, nil)
+	id, _ := b.take(safe)
+	b.step(Withdrawn{ID: id})
+	b.step(Withdrawn{ID: id}) // told twice
+	if got := finals(b.wait(17 * sec)); got != 0 {
+		t.Errorf("%d answers to a withdrawn message, want 0", got)
+	}
+}
+
+func TestStrayOutcomesAreHarmless(t *testing.T) {
+	b := newBench(t, nil)
+	id, _ := b.take(safe)
+	b.end(id, 0, 11, OK)
+	for _, out := range [][]Action{
+		b.end(id, 0, 11, OK), b.end(id, 5, 11, TimedOut), b.end("nobody", 0, 99, Full),
+		b.step(Probed{Endpoint: 11, Outcome: OK}), b.step(Probed{Endpoint: 99}), b.step(StreamStarted{ID: "nobody"}),
+		b.step(Withdrawn{ID: "nobody"}), b.step(ListFailed{}), b.step(Woke{}),
+	} {
+		if len(out) != 0 {
+			t.Errorf("acted on a stray event: %v", out)
+		}
+	}
+}
+
+func TestStreamBelongsToTheClient(t *testing.T) {
+	b := newBench(t, nil)
+	id, _ := b.take(safe)
+	b.wait(50 * ms)
+	b.step(StreamStarted{ID: id})
+	if out := b.wait(30 * sec); finals(out)+len(sends(out))+len(pick[Cancel](out)) != 0 {
+		t.Errorf("acted on a streaming message: %v", out)
+	}
+	if got := b.end(id, 0, 11, Reset, func(e *Ended) { e.Over = true }); finals(got) != 0 {
+		t.Error("answered a stream that the client has")
+	}
+	if len(b.s.held) != 0 || b.s.slots != 0 {
+		t.Error("the finished stream is still booked")
+	}
+}
+
+// Rule 2: no effect twice.
+
+func TestAttemptsAfterAnOutcome(t *testing.T) {
+	type want struct{ resent, refused, failed bool }
+	for _, c := range []struct {
+		name    string
+		class   int
+		outcome Outcome
+		want    want
+	}{
+		{"safe error", safe, Errored, want{resent: true}},
+		{"safe time-out", safe, TimedOut, want{resent: true}},
+		{"once error", once, Errored, want{failed: true}},
+		{"once time-out", once, TimedOut, want{failed: true}},
+		{"once reset", once, Reset, want{failed: true}},
+		{"once cancelled", once, Cancelled, want{failed: true}},
+		{"once refused", once, Full, want{resent: true}},
+		{"once no connection", once, ConnectError, want{resent: true}},
+		{"once not sent", once, NotSent, want{resent: true}},
+		{"keyed error in window", keyed, Errored, want{resent: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.serve(2, safe, 11)
+			id, _ := b.take(c.class)
+			out := append(b.end(id, 0, 11, c.outcome), b.wait(2*sec)...)
+			got := want{resent: len(sends(out)) > 0, refused: len(pick[Refuse](out)) > 0, failed: len(pick[Fail](out)) > 0}
+			if got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestSecondCopies(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		may   bool
+		want  int
+	}{
+		{"at most once never", once, true, 0},
+		{"safe where allowed", safe, true, 1},
+		{"safe where forbidden", safe, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, func(s *Settings) { s.MayCopy = c.may; s.MayCancel = false },
+				Entry{Endpoint: 11, Destination: 1}, Entry{Endpoint: 12, Destination: 1})
+			id, out := b.take(c.class)
+			first := sends(out)[0].Endpoint
+			b.s.endpoints[first].known, b.s.endpoints[first].latency = true, 0.05
+			copies := 0
+			for range 1400 / 5 { // the first attempt's time-out is 1.5 s
+				b.now += 5 * ms
+				copies += len(sends(b.step(Woke{})))
+			}
+			b.s.endpoints[first].calls[0].sent -= 2 * sec
+			copies += len(sends(b.wait(50 * ms)))
+			if copies != c.want {
+				t.Errorf("%d copies of %s, want %d", copies, id, c.want)
+			}
+		})
+	}
+}
+
+func TestKeyedWindow(t *testing.T) {
+	b := newBench(t, nil)
+	id, _ := b.take(keyed)
+	m := b.s.held[id]
+	ep := b.s.endpoints[11]
+	m.out, m.mayRun, m.mayRunAt = nil, b.now, ep
+	b.s.now = b.now + 6*sec - 10*ms
+	if !b.s.maySend(m, ep) {
+		t.Error("a repeat just inside the window is barred")
+	}
+	for _, d := range []time.Duration{6*sec - 5*ms, 6 * sec, 7 * sec} {
+		b.s.now = b.now + d
+		if b.s.maySend(m, ep) {
+			t.Errorf("a repeat %v after the first attempt passes", d)
+		}
+	}
+}
+
+func TestKeyedScope(t *testing.T) {
+	entries := []Entry{{Endpoint: 11, Destination: 1, Zone: 0}, {Endpoint: 12, Destination: 1, Zone: 1},
+		{Endpoint: 13, Destination: 1, Zone: 0}}
+	for _, c := range []struct {
+		class int
+		ep    EndpointID
+		want  bool
+	}{{keyed, 12, true}, {keyedZone, 12, false}, {keyedZone, 13, true}, {keyedZone, 11, true}} {
+		b := newBench(t, nil, entries...)
+		id, _ := b.take(c.class)
+		m := b.s.held[id]
+		if m.out = nil; !b.s.maySend(m, b.s.endpoints[c.ep]) {
+			t.Errorf("class %d: barred from %d before anything may have run", c.class, c.ep)
+		}
+		m.mayRun, m.mayRunAt = b.now, b.s.endpoints[11]
+		if got := b.s.maySend(m, b.s.endpoints[c.ep]); got != c.want {
+			t.Errorf("class %d to %d: %v, want %v", c.class, c.ep, got, c.want)
+		}
+		if got, want := b.s.mayRefuse(m), c.class == keyed; got != want {
+			t.Errorf("class %d: may refuse %v, want %v", c.class, got, want)
+		}
+	}
+}
+
+func TestKeyedPastItsWindowIsAnsweredAtOnce(t *testing.T) {
+	b := newBench(t, nil)
+	id, _ := b.take(keyed)
+	b.step(Listed{Entries: []Entry{{Endpoint: 11, Destination: 1, Gone: true}}})
+	b.end(id, 0, 11, Reset)
+	if got := finals(b.wait(6*sec + 50*ms)); got != 1 {
+		t.Errorf("%d answers by the window's end, want 1", got)
+	}
+}
+
+func TestAttemptsRunOut(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.MaxAttempts = 1 })
+	id, _ := b.take(safe)
+	if out := b.end(id, 0, 11, Errored); len(pick[Refuse](out)) != 1 {
+		t.Errorf("got %v, want a refusal at once", out)
+	}
+}
+
+// Rule 3: drains.
+
+func TestNothingNewToDrainedOrMissing(t *testing.T) {
+	for name, list := range map[string]Listed{
+		"draining": {Entries: []Entry{{Endpoint: 11, Destination: 1, Draining: true}}},
+		"gone":     {Entries: []Entry{{Endpoint: 11, Destination: 1, Gone: true}}},
+		"missing":  {Whole: true},
+	} {
+		b := newBench(t, nil)
+		b.step(list)
+		if _, out := b.take(safe); len(sends(out))+len(sends(b.wait(3*sec))) != 0 {
+			t.Errorf("%s: sent", name)
+		}
+		out := b.step(Listed{Entries: []Entry{{Endpoint: 12, Destination: 1}}})
+		if got := sends(out); len(got) != 1 || got[0].Endpoint != 12 {
+			t.Errorf("%s: held message not sent to the replacement: %v", name, out)
+		}
+	}
+}
+
+// Rule 4: safe fail-back.
+
+func TestFailBackKeepsTheBudget(t *testing.T) {
+	for _, o := range []Outcome{Reset, ConnectError, Errored, Full} {
+		b := newBench(t, nil)
+		b.serve(100, safe, 11) // ten calls a second
+		before := b.s.endpoints[11].delivered.perSecond(b.now, deliveredMemory)
+		for range 60 {
+			b.take(safe)
+		}
+		down := b.now + 8*sec
+		script := func(EndpointID, bool) reply {
+			if b.now < down {
+				return reply{o: o, after: 50 * ms}
+			}
+			return reply{o: OK, after: 50 * ms}
+		}
+		arrived := b.run(18*sec, script)
+		for i, from := range arrived {
+			n := 0
+			for _, at := range arrived[i:] {
+				if at < from+2*sec {
+					n++
+				}
+			}
+			warm := 0.2 + 0.8*min(1, (from+2*sec-down).Seconds()/10)
+			if budget := 2*before*warm*2 + 1; from >= down && float64(n) > budget {
+				t.Errorf("outcome %d: %d calls within 2 s of %v after the return, budget %.1f", o, n, from-down, budget)
+			}
+		}
+		if served := 60 - len(b.s.held); served < 20 {
+			t.Errorf("outcome %d: only %d of 60 served 10 s after the return", o, served)
+		}
+	}
+}
+
+func TestTrialsGrowApart(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.MayProbe, s.MaxAttempts = false, 100 })
+	b.take(safe)
+	at := b.run(12*sec, always(ConnectError, 10*ms))
+	if len(at) < 5 {
+		t.Fatalf("%d trials in 12 s, want some", len(at))
+	}
+	if early := at[3] - at[2]; early > sec {
+		t.Errorf("early trials %v apart, want close together", early)
+	}
+	if late := at[len(at)-1] - at[len(at)-2]; late < 2*sec {
+		t.Errorf("late trials %v apart, want the full gap of two senders, 2 s", late)
+	}
+}
+
+func TestTrialsLeaveAnAttempt(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.MayProbe = false })
+	b.take(safe)
+	b.run(12*sec, always(ConnectError, 10*ms))
+	if len(b.s.held) != 1 || b.s.held["m1"].tries != 5 {
+		t.Fatal("trials used up the message's last attempt")
+	}
+	if b.take(safe); b.s.held["m2"] == nil {
+		t.Fatal("the next message is gone")
+	}
+	b.run(15*sec, always(OK, 10*ms))
+	if len(b.s.held) != 0 {
+		t.Error("not served after the return")
+	}
+}
+
+// Rule 5: order by key.
+
+func TestOrderByKey(t *testing.T) {
+	b := newBench(t, nil)
+	take := func(id MessageID, key string) []Action {
+		return b.step(Arrived{ID: id, Destination: 1, Class: ordered, OrderKey: key, TimeLeft: 16 * sec})
+	}
+	if len(sends(take("a", "k"))) != 1 || len(sends(take("b", "k"))) != 0 || len(sends(take("c", "l"))) != 1 ||
+		len(sends(take("d", ""))) != 1 {
+		t.Fatal("want the first of each key and the one without a key sent, and no other")
+	}
+	if out := b.end("a", 0, 11, Errored); len(sends(out)) != 1 || sends(out)[0].ID != "a" {
+		t.Fatalf("the message whose turn it is should go again: %v", out)
+	}
+	out := b.end("a", 1, 11, OK)
+	if len(sends(out)) != 1 || sends(out)[0].ID != "b" {
+		t.Fatalf("the next of the key should follow: %v", out)
+	}
+}
+
+func TestOrderRestsAfterWhatMayStillRun(t *testing.T) {
+	b := newBench(t, nil)
+	for _, id := range []MessageID{"a", "b"} {
+		b.step(Arrived{ID: id, Destination: 1, Class: ordered, OrderKey: "k", TimeLeft: 16 * sec})
+	}
+	b.step(Withdrawn{ID: "a"}) // over, with its attempt still out
+	if got := sends(b.wait(sec)); len(got) != 0 {
+		t.Fatal("sent while an attempt of an earlier message is out")
+	}
+	b.end("a", 0, 11, TimedOut, func(e *Ended) { e.Over = true })
+	if got := sends(b.wait(490 * ms)); len(got) != 0 {
+		t.Error("sent before the key has rested")
+	}
+	if got := sends(b.wait(300 * ms)); len(got) != 1 {
+		t.Errorf("%d sends after the rest, want 1", len(got))
+	}
+}
+
+// Rule 6: told waits.
+
+func TestToldWaits(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		kind int
+		want int // sends to the other endpoint during the wait
+	}{{"shared limit", 0, 0}, {"routes apart", 1, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1, Kind: c.kind},
+				Entry{Endpoint: 12, Destination: 1, Kind: c.kind})
+			id, out := b.take(safe)
+			told := sends(out)[0].Endpoint
+			got := sends(b.end(id, 0, told, Full, withWait(500*ms)))
+			got = append(got, sends(b.wait(495*ms))...)
+			if len(got) != c.want {
+				t.Fatalf("%d sends during the wait, want %d", len(got), c.want)
+			}
+			for _, a := range got {
+				if a.Endpoint == told {
+					t.Error("sent where it was told to wait")
+				}
+			}
+			if c.want == 0 && len(sends(b.wait(3*sec))) == 0 {
+				t.Error("not sent after the wait")
+			}
+		})
+	}
+}
+
+func TestWaitToldByLaterOutcomesOfOneCall(t *testing.T) {
+	b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1, Kind: 2})
+	ids := []MessageID{"a", "b"}
+	var events []Event
+	for _, id := range ids {
+		events = append(events, Arrived{ID: id, Destination: 1, TimeLeft: 16 * sec})
+	}
+	b.step(events...)
+	b.end("a", 0, 11, Full)
+	b.end("b", 0, 11, Full, withWait(sec))
+	if got := sends(b.wait(995 * ms)); len(got) != 0 {
+		t.Errorf("%d sends during the wait, want none", len(got))
+	}
+}
+
+// The pace, clause by clause.
+
+func TestPaceFirstCut(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		sent, refused int
+		listed, want  float64
+	}{
+		{"from the send rate", 20, 1, 0, 0.7 * 10},
+		{"from the refused rate", 0, 8, 0, 0.7 * 0.5},
+		{"listed rate seeds a burst down", 40, 1, 6, 0.7 * 6},
+		{"listed rate seeds a trickle up", 1, 1, 8, 0.7 * 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var p pace
+			for range c.sent {
+				p.onSend(0)
+			}
+			if p.readyAt() != 0 {
+				t.Error("bound before any refusal")
+			}
+			for range c.refused {
+				p.onFull(0, 0, c.listed, 2)
+			}
+			if math.Abs(p.rate-c.want) > 0.01 {
+				t.Errorf("rate %.2f, want %.2f", p.rate, c.want)
+			}
+		})
+	}
+}
+
+func TestPaceCutsAgain(t *testing.T) {
+	start := pace{rate: 10, lastCut: 10 * sec, lastChange: 10 * sec}
+	for _, c := range []struct {
+		name      string
+		now, sent time.Duration
+		want      float64
+	}{
+		{"within the cooldown", 10900 * ms, 10500 * ms, 10},
+		{"sent before the cut", 12 * sec, 9 * sec, 10},
+		{"sent at the cut", 12 * sec, 10 * sec, 10},
+		{"after both", 11 * sec, 10001 * ms, 7},
+	} {
+		p := start
+		p.onFull(c.now, c.sent, 0, 2)
+		if math.Abs(p.rate-c.want) > 1e-9 {
+			t.Errorf("%s: rate %.2f, want %.2f", c.name, p.rate, c.want)
+		}
+	}
+	p := start
+	for i := range 100 {
+		p.onFull(time.Duration(20+2*i)*sec, time.Duration(19+2*i)*sec, 0, 2)
+	}
+	if p.rate != minPace {
+		t.Errorf("rate %.3f after many cuts, want the minimum", p.rate)
+	}
+}
+
+func TestPaceClimbs(t *testing.T) {
+	cut := pace{rate: 10}
+	cut.onFull(10*sec, 9*sec, 0, 2)
+	for _, c := range []struct {
+		name   string
+		waited bool
+		wait   time.Duration // told at the cut
+		now    time.Duration
+		want   float64
+	}{
+		{"a step of a tenth of the rate before the cut", true, 0, 10*sec + climbInterval, 8},
+		{"not before the interval", true, 0, 10*sec + climbInterval - ms, 7},
+		{"not without a message waiting", false, 0, 20 * sec, 7},
+		{"the clock restarts at the end of a wait", true, sec, 11*sec + climbInterval - ms, 7},
+		{"and runs from there", true, sec, 11*sec + climbInterval, 8},
+	} {
+		p := cut
+		p.waited = c.waited
+		if c.wait > 0 {
+			p.onWait(10*sec + c.wait)
+		}
+		p.onSuccess(c.now)
+		if math.Abs(p.rate-c.want) > 1e-9 {
+			t.Errorf("%s: rate %.2f, want %.2f", c.name, p.rate, c.want)
+		}
+		if climbed := c.want > 7; climbed && p.waited {
+			t.Errorf("%s: the climb left the waited mark", c.name)
+		}
+	}
+}
+
+func TestPaceLapses(t *testing.T) {
+	p := pace{rate: 5, lastRefusal: 10 * sec, next: 30 * sec}
+	p.lapse(10*sec + paceLapse - ms)
+	if p.rate == 0 {
+		t.Error("lapsed early")
+	}
+	p.lapse(10*sec + paceLapse)
+	if p.rate != 0 || p.next != 0 {
+		t.Error("still bound after the quiet time")
+	}
+}
+
+func TestPaceSpacesCallsNotMessages(t *testing.T) {
+	b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1, Kind: 2})
+	ep := b.s.endpoints[11]
+	ep.lane.pace.rate, ep.lane.pace.next, ep.lane.pace.lastRefusal = 2, b.now+sec, b.now
+	for range 6 {
+		b.take(safe)
+	}
+	out := b.wait(sec)
+	if len(sends(out)) != 4 {
+		t.Fatalf("%d messages in the first call, want the batch of 4", len(sends(out)))
+	}
+	if b.s.slots != 1 {
+		t.Errorf("%d slots in use for one call", b.s.slots)
+	}
+	if got := sends(b.wait(490 * ms)); len(got) != 0 {
+		t.Error("a second call before half a second at 2 a second")
+	}
+	if got := sends(b.wait(20 * ms)); len(got) != 2 {
+		t.Errorf("%d messages in the second call, want 2", len(got))
+	}
+	if !ep.lane.pace.waited {
+		t.Error("messages waited for the pace, and it was not noted")
+	}
+}
+
+func TestPaceIsUnboundUntilRefused(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.RatesListed = true }, Entry{Endpoint: 11, Destination: 1, ListedRate: 0.5})
+	n := 0
+	for range 4 {
+		_, out := b.take(safe)
+		n += len(sends(out))
+	}
+	if n != 4 {
+		t.Errorf("%d of 4 sent at once, want all: a listed rate is no cap", n)
+	}
+}
+
+// Health, by symptom.
+
+func TestProbationBySymptom(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		outcomes []Outcome
+		want     health
+	}{
+		{"one error is chance", []Outcome{Errored}, healthy},
+		{"two errors", []Outcome{Errored, Errored}, probation},
+		{"two resets", []Outcome{Reset, Reset}, probation},
+		{"two without connection", []Outcome{ConnectError, ConnectError}, probation},
+		{"two time-outs", []Outcome{TimedOut, TimedOut}, probation},
+		{"an answer between", []Outcome{Errored, OK, Errored}, healthy},
+		{"refusals are the pace's", []Outcome{Full, Full}, healthy},
+	} {
+		b := newBench(t, nil)
+		b.serve(2, safe, 11)
+		ep := b.s.endpoints[11]
+		for _, o := range c.outcomes {
+			b.now += 10 * ms
+			b.s.now = b.now
+			b.s.judge(&call{ep: ep, sent: b.now - 5*ms}, Ended{Outcome: o, Elapsed: 5 * ms})
+		}
+		if ep.health != c.want {
+			t.Errorf("%s: health %d, want %d", c.name, ep.health, c.want)
+		}
+	}
+}
+
+func TestLastingRefusalsAreAnOutage(t *testing.T) {
+	b := newBench(t, nil)
+	b.serve(3, safe, 11)
+	id, _ := b.take(safe)
+	b.end(id, 0, 11, Full, withWait(longWait+sec))
+	if b.s.endpoints[11].health != probation {
+		t.Error("a wait beyond a limit's own did not count as shut")
+	}
+	b = newBench(t, nil)
+	b.serve(3, safe, 11)
+	b.take(safe)
+	b.run(6*sec, always(Full, 10*ms))
+	if b.s.endpoints[11].health != probation {
+		t.Error("refusals only, over seconds, did not count as shut")
+	}
+}
+
+func TestSilenceStartsProbationAndFreshConnections(t *testing.T) {
+	b := newBench(t, nil)
+	b.serve(10, safe, 11)
+	b.take(safe)
+	out := b.wait(1500 * ms)
+	if len(pick[Cancel](out)) != 1 || len(pick[CloseIdle](out)) == 0 {
+		t.Fatalf("silence: want the repeatable call called off and idle connections closed, got %v", out)
+	}
+	b.end("m11", 0, 11, Cancelled)
+	at := b.run(sec, always(OK, 50*ms))
+	if len(b.s.held) != 0 {
+		t.Fatalf("%d calls, %d held: want it sent again and served", len(at), len(b.s.held))
+	}
+	if got := b.s.endpoints[11].health; got != healthy {
+		t.Errorf("health %d after brief silence, want healthy at once", got)
+	}
+}
+
+func TestUnansweredAtMostOnceIsNotCalledOff(t *testing.T) {
+	b := newBench(t, nil)
+	b.serve(10, safe, 11)
+	b.take(once)
+	if out := b.wait(10 * sec); len(pick[Cancel](out)) != 0 {
+		t.Error("an at-most-once call was called off with slots to spare")
+	}
+}
+
+func TestRampAfterLongTrouble(t *testing.T) {
+	b := newBench(t, nil)
+	b.serve(10, safe, 11)
+	ep := b.s.endpoints[11]
+	ep.failing = b.now
+	b.s.suspend(ep, Reset)
+	b.wait(6 * sec)
+	b.s.succeeded(ep, b.now, 100*ms)
+	if ep.health != ramping {
+		t.Fatalf("health %d after a trial went well, want ramping", ep.health)
+	}
+	cold := b.s.rampRate(ep)
+	b.s.now += 5 * sec
+	half := b.s.rampRate(ep)
+	if math.Abs(half/cold-3) > 0.01 { // cold share 0.2, halfway 0.6
+		t.Errorf("rate %.2f cold and %.2f halfway, want a factor of 3", cold, half)
+	}
+	b.s.now += 6 * sec
+	b.s.succeeded(ep, b.s.now, 100*ms)
+	if ep.health != healthy {
+		t.Errorf("health %d after the warm-up, want healthy", ep.health)
+	}
+	for range 2 { // the ramp is judged like the rest
+		b.s.failed(ep, b.s.now, Reset)
+	}
+	if ep.health != probation {
+		t.Error("failures after the ramp did not start probation")
+	}
+}
+
+func TestAnswersFromBeforeTheOutageDoNotStartTheRamp(t *testing.T) {
+	b := newBench(t, nil)
+	ep := b.s.endpoints[11]
+	b.s.suspend(ep, Reset)
+	b.s.succeeded(ep, b.now-sec, 100*ms)
+	if ep.health != probation {
+		t.Error("an answer to an old call ended the probation")
+	}
+}
+
+func TestFullConnectionTableIsNoOutage(t *testing.T) {
+	b := newBench(t, nil)
+	first, _ := b.take(safe)
+	second, _ := b.take(safe)
+	third, _ := b.take(safe)
+	b.wait(50 * ms)
+	b.end(first, 0, 11, OK)
+	b.end(second, 0, 11, ConnectError)
+	ep := b.s.endpoints[11]
+	if ep.health != healthy || ep.fails != 0 {
+		t.Error("a refused connection beside answered calls counted as a failure")
+	}
+	if ep.tableCap == 0 || !b.s.hasRoom(ep) == (len(ep.calls) < ep.tableCap) {
+		t.Error("the full table does not bound the calls at once")
+	}
+	_ = third
+}
+
+// Room, order of work, and the ends.
+
+func TestOneLaneLeavesSlotsToOthers(t *testing.T) {
+	b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1}, Entry{Endpoint: 21, Destination: 2})
+	n := 0
+	for range 20 {
+		_, out := b.take(safe)
+		n += len(sends(out))
+	}
+	if want := int(laneShare * 10); n != want {
+		t.Errorf("%d calls out on one lane, want %d of 10 slots", n, want)
+	}
+	if out := b.step(Arrived{ID: "x", Destination: 2, TimeLeft: 16 * sec}); len(sends(out)) != 1 {
+		t.Error("no slot left for another destination")
+	}
+}
+
+func TestStuckCallYieldsItsSlot(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.Slots = 2 }, Entry{Endpoint: 11, Destination: 1},
+		Entry{Endpoint: 21, Destination: 2})
+	b.take(once)
+	b.take(once)
+	b.wait(7 * sec)
+	out := b.step(Arrived{ID: "x", Destination: 2, TimeLeft: 16 * sec})
+	if got := pick[Cancel](out); len(got) != 1 {
+		t.Fatalf("cancelled %v, want the oldest stuck call", got)
+	}
+	out = b.end("m1", 0, 11, Cancelled)
+	if len(pick[Fail](out)) != 1 || len(sends(out)) != 1 {
+		t.Errorf("got %v, want the stuck message failed and the waiting one sent", out)
+	}
+}
+
+func TestHoldingRoomIsKeptForNewcomers(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.MaxHeld = 32 }, Entry{Endpoint: 21, Destination: 2})
+	refused := 0
+	for range 40 {
+		_, out := b.take(safe)
+		refused += len(pick[Refuse](out))
+	}
+	if len(b.s.held) > 30 || refused != 40-len(b.s.held) {
+		t.Errorf("%d held and %d refused of 40, want at most 30 held and the rest refused", len(b.s.held), refused)
+	}
+}
+
+func TestRefusalAdvises(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		b := newBench(t, func(s *Settings) { s.MayAdvise, s.MaxAttempts = may, 1 })
+		id, _ := b.take(safe)
+		out := pick[Refuse](b.end(id, 0, 11, Full, withWait(1500*ms)))
+		if len(out) != 1 {
+			t.Fatal("no refusal")
+		}
+		if got := out[0].RetryAfter; may && (got < 1500*ms || got > 3*sec) || !may && got != 0 {
+			t.Errorf("advice %v where allowed is %v", got, may)
+		}
+	}
+}
+
+func TestWorthLostByWaitingGoesFirst(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.Slots = 1 })
+	b.take(safe)
+	b.step(Arrived{ID: "old", Destination: 1, TimeLeft: 6 * sec})                  // long late, worth its floor
+	b.step(Arrived{ID: "due", Destination: 1, TimeLeft: 14*sec + 200*ms})          // about to pass its aim
+	b.step(Arrived{ID: "fresh", Destination: 1, TimeLeft: 16 * sec})               // can wait
+	if out := sends(b.end("m1", 0, 11, OK)); len(out) != 1 || out[0].ID != "due" { // loses most
+		t.Errorf("sent %v, want the one about to be late", out)
+	}
+}
+
+func TestWorthOverTime(t *testing.T) {
+	b := newBench(t, nil)
+	m := &message{class: &Class{Aim: 2 * sec, Deadline: 16 * sec, Worth: 2, LateWorth: 0.4}, deadline: 16 * sec}
+	for _, c := range []struct {
+		at              time.Duration
+		halving, linear float64
+	}{{0, 2, 2}, {2 * sec, 2, 2}, {4 * sec, 1, 2 * (1 - 0.6*2/14)}, {15 * sec, 0.8, 2 * (1 - 0.6*13/14)}, {16 * sec, 0, 0}} {
+		for _, halving := range []bool{true, false} {
+			b.s.set.LateHalving = halving
+			want := c.linear
+			if halving {
+				want = c.halving
+			}
+			if got := b.s.worth(m, c.at); math.Abs(got-want) > 1e-9 {
+				t.Errorf("worth at %v (halving %v) is %.3f, want %.3f", c.at, halving, got, want)
+			}
+		}
+	}
+}
+
+func TestTenantsBeyondTheirShareYield(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.Tenants = []Tenant{{Quota: 10}, {Quota: 10}} })
+	for i := range 12 {
+		b.step(Arrived{ID: b.arrive(safe), Destination: 1, Tenant: min(i%4, 1), TimeLeft: 16 * sec})
+	}
+	if low, high := b.s.tenantWeight(1), b.s.tenantWeight(0); low >= high || high != 1 || low < 0.2 {
+		t.Errorf("weights %.2f within and %.2f beyond the share", high, low)
+	}
+}
+
+func TestTrialPrefersWhatMayBeRepeated(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.MayProbe = false })
+	b.s.suspend(b.s.endpoints[11], Errored)
+	b.s.endpoints[11].nextTrial = b.now + sec
+	b.take(once)
+	id, _ := b.take(safe)
+	if out := sends(b.wait(sec)); len(out) != 1 || out[0].ID != id {
+		t.Errorf("trial with %v, want the safe message", out)
+	}
+}
+
+func TestProbeVouchesForAtMostOnce(t *testing.T) {
+	b := newBench(t, nil)
+	b.s.suspend(b.s.endpoints[11], Errored)
+	b.take(once)
+	probes := b.run(3*sec, always(ConnectError, 10*ms))
+	if len(sends(b.log)) != 0 || len(probes) == 0 {
+		t.Fatalf("%d sends and %d probes, want probes only", len(sends(b.log)), len(probes))
+	}
+	b.run(3*sec, always(OK, 10*ms))
+	if got := sends(b.log); len(got) != 1 {
+		t.Errorf("%d sends after a probe vouched, want 1", len(got))
+	}
+}
+
+func TestAskedRegistryIsWatchedAndAskedAgain(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.AskRegistry, s.AskEvery = true, 10*sec })
+	if len(pick[Watch](b.log)) != 1 {
+		t.Fatal("not watched from the start")
+	}
+	b.step(ListFailed{})
+	if got := len(pick[Watch](b.wait(5 * sec))); got != 1 {
+		t.Errorf("asked %d times after a failure, want once", got)
+	}
+	b = newBench(t, nil)
+	b.step(ListFailed{})
+	if got := len(pick[Watch](append(b.log, b.wait(5*sec)...))); got != 0 {
+		t.Error("watched a registry that pushes")
+	}
+}
+
+func TestOutOfSlotsIsNoFault(t *testing.T) {
+	b := newBench(t, nil)
+	id, _ := b.take(once)
+	out := b.end(id, 0, 11, NotSent, func(e *Ended) { e.NoSlot = true })
+	if b.s.endpoints[11].fails != 0 || finals(out) != 0 {
+		t.Error("a call that never left counted against endpoint or message")
+	}
+}
+
+// Determinism: the same events give the same actions.
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() []Action {
+		rng := rand.New(rand.NewPCG(1, 2))
+		b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1}, Entry{Endpoint: 12, Destination: 1},
+			Entry{Endpoint: 21, Destination: 2, Kind: 1}, Entry{Endpoint: 22, Destination: 2, Kind: 1},
+			Entry{Endpoint: 31, Destination: 3, Kind: 2})
+		script := func(EndpointID, bool) reply {
+			if rng.IntN(8) == 0 {
+				return reply{o: Outcome(1 + rng.IntN(5)), after: 30 * ms}
+			}
+			return reply{o: OK, after: time.Duration(20+rng.IntN(200)) * ms}
+		}
+		for range 300 { // whatever is out between runs gets an answer in the next
+			b.step(Arrived{ID: b.arrive(0), Destination: 1 + rng.IntN(3), Class: rng.IntN(3), TimeLeft: 16 * sec})
+			b.run(100*ms, script)
+		}
+		return b.log
+	}
+	one, two := run(), run()
+	if len(sends(one)) < 200 {
+		t.Fatalf("only %d sends in the run", len(sends(one)))
+	}
+	if !reflect.DeepEqual(one, two) {
+		t.Error("two runs of the same events differ")
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -140,6 +140,7 @@
 	slots     int // in use
 	arrivals  []meter
 	total     meter
+	quotas    float64 // of all tenants
 	wakeAt    time.Duration
 	watchAt   time.Duration
 	actions   []Action
@@ -150,6 +151,9 @@
 	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never,
 		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
 		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, arrivals: make([]meter, len(set.Tenants))}
+	for _, t := range set.Tenants {
+		s.quotas += t.Quota
+	}
 	if set.AskRegistry {
 		s.watchAt = 0
 	}
@@ -312,3 +316,22 @@
 func (s *Sender) backlog(d *destination) float64 {
 	return float64(len(d.msgs)) / max(d.served.perSecond(s.now, deliveredMemory), 1e-3)
 }
+
+// quiet is how long an endpoint with calls out has answered nothing.
+func (s *Sender) quiet(ep *endpoint) time.Duration {
+	if len(ep.calls) == 0 {
+		return 0
+	}
+	return s.now - max(ep.lastAnswer, ep.calls[0].sent)
+}
+
+// firstRun is when and where the earliest attempt went that has run or may yet, (never, nil) for none.
+func (m *message) firstRun() (time.Duration, *endpoint) {
+	first, at := m.mayRun, m.mayRunAt
+	for _, a := range m.out {
+		if a.call.sent < first {
+			first, at = a.call.sent, a.call.ep
+		}
+	}
+	return first, at
+}
