--- a/rules/rules.go
+++ b/rules/rules.go
@@ -27,9 +27,10 @@
 	failStreak      = 2                       // failures in a row that are not chance
 	refusalStreak   = 3                       // refusals in a row without a success: shut rather than full
 	refusalSpan     = 1500 * time.Millisecond // and over at least this long; a limit frees room sooner
+	silenceFactor   = 2                       // silence, in late-answer times, that counts as an outage
+	curedMemory     = 10 * time.Second        // two silences cured by a fresh connection in this: a pattern
 	briefTrouble    = 3 * time.Second         // trouble shorter than this leaves nothing cold
 	longWait        = 2 * time.Second         // a told wait beyond a limit's own: the destination is shut
-	silenceFactor   = 2                       // silence, in late-answer times, that counts as an outage
 	rampGain        = 1.0                     // of what was delivered before, times the share that is warm
 	rampFloor       = 0.5                     // calls a second assumed delivered where nothing is known
 	tableMemory     = 5 * time.Second         // how long a full connection table caps concurrency
@@ -392,6 +393,7 @@
 	switch {
 	case ep.health == probation && sent >= ep.since && sent-ep.failing < briefTrouble && ep.unanswered():
 		ep.health, ep.since = healthy, s.now
+		s.cured.add(s.now, curedMemory, 1)
 	case ep.health == probation && sent >= ep.since:
 		ep.health, ep.since, ep.nextRamp = ramping, s.now, s.now
 		ep.nextRamp += seconds(1 / s.rampRate(ep))
@@ -464,11 +466,20 @@
 }
 
 // findSilence puts endpoints on probation that answer nothing of what they have. A hang never refuses.
+// Where fresh connections have lately cured silence, they are tried first, and sooner.
 func (s *Sender) findSilence() {
+	dying := s.cured.perSecond(s.now, curedMemory) > 2/curedMemory.Seconds()
 	for _, d := range s.order {
 		for _, ep := range d.endpoints {
 			ep.lane.pace.lapse(s.now)
-			if ep.health != probation && s.quiet(ep) > silenceFactor*s.lateAfter(ep) {
+			late, quiet := s.lateAfter(ep), s.quiet(ep)
+			if ep.health == probation || quiet <= late || quiet <= silenceFactor*late && !dying {
+				continue
+			}
+			if dying && ep.renewed <= ep.lastAnswer {
+				ep.renewed, ep.failing = s.now, max(ep.lastAnswer, ep.calls[0].sent)
+				s.withdraw(ep)
+			} else if s.now-ep.renewed > late {
 				ep.failing = max(ep.lastAnswer, ep.calls[0].sent)
 				s.withdraw(ep)
 				s.suspend(ep, TimedOut)
@@ -486,6 +497,7 @@
 			s.cancel(c)
 		}
 	}
+	s.act(CloseIdle{Endpoint: ep.id})
 }
 
 func (s *Sender) cancel(c *call) {
@@ -564,7 +576,7 @@
 	if ep.health == probation && m.tries+1 >= s.set.MaxAttempts {
 		return false // its last attempt is for a better time
 	}
-	if m.class.Effect == Safe {
+	if m.class.Effect == Safe || m.class.Effect == Keyed && s.now-ep.failing < briefTrouble {
 		return true
 	}
 	if ep.health != probation {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -610,6 +610,24 @@
 	}
 }
 
+func TestConnectionsAreRenewedEarlyOnlyWherePatternSaysSo(t *testing.T) {
+	for _, cures := range []int{0, 1, 4} {
+		b := newBench(t, nil)
+		b.serve(20, safe, 11)
+		for range cures {
+			b.s.cured.add(b.now, curedMemory, 1)
+		}
+		b.take(safe)
+		out := b.wait(minLate + 200*ms)
+		if got, want := len(pick[Cancel](out)) > 0, cures > 2; got != want {
+			t.Errorf("after %d cured silences: renewed at the first late silence %v, want %v", cures, got, want)
+		}
+		if b.s.endpoints[11].health != healthy {
+			t.Errorf("after %d cured silences: health %d, want healthy still", cures, b.s.endpoints[11].health)
+		}
+	}
+}
+
 func TestUnansweredAtMostOnceIsNotCalledOff(t *testing.T) {
 	b := newBench(t, nil)
 	b.serve(10, safe, 11)
--- a/rules/state.go
+++ b/rules/state.go
@@ -66,7 +66,8 @@
 	nextTrial  time.Duration
 	nextRamp   time.Duration
 	probing    bool
-	vouched    bool // a probe went well in this probation
+	renewed    time.Duration // when its connections were last renewed for silence
+	vouched    bool          // a probe went well in this probation
 
 	peak       int // most calls out at once while connections stayed open
 	lastUse    time.Duration
@@ -140,6 +141,7 @@
 	slots     int // in use
 	arrivals  []meter
 	total     meter
+	cured     meter   // silences that a fresh connection ended
 	quotas    float64 // of all tenants
 	wakeAt    time.Duration
 	watchAt   time.Duration
