Space trials and ramp by this sender's own part of the cold budget

Both now share one gap: own delivery before (or its part of a listed rate) times the share that must be warm. Should help any return; hurts if own traffic before the outage was a burst.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,8 +31,7 @@
 	curedMemory     = 10 * time.Second        // two silences cured by a fresh connection in this: a pattern
 	briefTrouble    = 3 * time.Second         // trouble shorter than this leaves nothing cold
 	longWait        = 2 * time.Second         // a told wait beyond a limit's own: the destination is shut
-	rampGain        = 1.0                     // of what was delivered before, times the share that is warm
-	rampFloor       = 0.5                     // calls a second assumed delivered where nothing is known
+	rampGain        = 1.3                     // of its own part: below the overload factor, as others add
 	tableMemory     = 5 * time.Second         // how long a full connection table caps concurrency
 
 	// Latency.
@@ -268,15 +267,10 @@
 	s.countCall(ep)
 }
 
-// countCall charges a call or probe to the pace, the trials and the ramp.
+// countCall charges a call or probe to the pace, and to the trials or the ramp.
 func (s *Sender) countCall(ep *endpoint) {
 	ep.lane.pace.onSend(s.now)
-	switch ep.health {
-	case probation:
-		ep.nextTrial = s.now + s.trialGap(ep)
-	case ramping:
-		ep.nextRamp = max(ep.nextRamp, s.now) + seconds(1/s.rampRate(ep))
-	}
+	ep.charged = s.now
 }
 
 // timeout is how long to wait on a call. Only what may be sent again is timed out early: for the rest it
@@ -395,10 +389,9 @@
 		ep.health, ep.since = healthy, s.now
 		s.cured.add(s.now, curedMemory, 1)
 	case ep.health == probation && sent >= ep.since:
-		ep.health, ep.since, ep.nextRamp = ramping, s.now, s.now
-		ep.nextRamp += seconds(1 / s.rampRate(ep))
+		ep.health, ep.since, ep.charged = ramping, s.now, s.now
 	case ep.health == probation && ep.symptom == TimedOut:
-		ep.nextTrial = min(ep.nextTrial, s.now+s.trialGap(ep)/2)
+		ep.charged -= s.gap(ep) / 2
 	case ep.health == ramping && s.now-ep.since >= s.set.WarmUp:
 		ep.health, ep.since = healthy, s.now
 	}
@@ -410,7 +403,7 @@
 	if why == TimedOut && ep.lastAnswer > sent {
 		return // one call lost where others are answered
 	}
-	if ep.fails++; ep.fails == 1 {
+	if ep.fails++; ep.fails == 1 && ep.health == healthy {
 		ep.failing = sent
 	}
 	switch {
@@ -427,11 +420,10 @@
 		ep.base = ep.delivered.perSecond(s.now, deliveredMemory)
 	}
 	ep.health, ep.since, ep.symptom, ep.vouched = probation, s.now, why, false
-	ep.nextTrial = s.now
-	if ep.unanswered() { // the first trial at once, on a fresh connection: only the old ones may be dead
+	ep.charged = s.now
+	if ep.unanswered() { // the first trial soon, on a fresh connection: only the old ones may be dead
+		ep.charged -= s.gap(ep)
 		s.act(CloseIdle{Endpoint: ep.id})
-	} else {
-		ep.nextTrial += s.trialGap(ep)
 	}
 }
 
@@ -476,11 +468,13 @@
 			if ep.health == probation || quiet <= late || quiet <= silenceFactor*late && !dying {
 				continue
 			}
+			if ep.health == healthy {
+				ep.failing = max(ep.lastAnswer, ep.calls[0].sent)
+			}
 			if dying && ep.renewed <= ep.lastAnswer {
-				ep.renewed, ep.failing = s.now, max(ep.lastAnswer, ep.calls[0].sent)
+				ep.renewed = s.now
 				s.withdraw(ep)
 			} else if s.now-ep.renewed > late {
-				ep.failing = max(ep.lastAnswer, ep.calls[0].sent)
 				s.withdraw(ep)
 				s.suspend(ep, TimedOut)
 			}
@@ -509,28 +503,25 @@
 	}
 }
 
-// trialGap spaces trial calls so that all senders' trials together stay within a cold destination's budget.
-func (s *Sender) trialGap(ep *endpoint) time.Duration {
-	gap := s.set.FallWindow.Seconds() * float64(max(s.set.Senders, 1)) / 2
-	if capacity := max(ep.base, ep.rate/2); capacity > 0 {
-		gap = min(gap, float64(max(s.set.Senders, 1))/(s.set.OverloadFactor*s.set.ColdShare*capacity))
-	}
+// gap is the time between calls to an endpoint on probation or on its ramp. A sender keeps to its own part of
+// a cold destination's budget: what it delivered before, or its part of a listed rate, times the share of
+// capacity that must be back by now. All senders' parts together are then within it.
+func (s *Sender) gap(ep *endpoint) time.Duration {
+	peers, warm := float64(max(s.set.Senders, 1)), 0.0
+	longest := s.set.FallWindow.Seconds() * peers / 2
 	if !s.kind(ep).RoutesApart {
-		gap *= float64(max(1, len(ep.dest.endpoints)))
+		peers *= float64(max(len(ep.dest.endpoints), 1))
+		longest *= float64(max(len(ep.dest.endpoints), 1))
 	}
-	return min(seconds(gap), max(s.now-ep.failing, minLate)/2) // young trouble cannot have left anything cold
-}
-
-// rampRate is the calls a second that a returning endpoint may get from this sender now: its own delivery
-// before, times the share of capacity that must be back by now.
-func (s *Sender) rampRate(ep *endpoint) float64 {
-	peers := max(s.set.Senders, 1)
-	if !s.kind(ep).RoutesApart {
-		peers *= max(len(ep.dest.endpoints), 1)
+	if ep.health == ramping {
+		warm = min(1, (s.now-ep.since).Seconds()/max(s.set.WarmUp.Seconds(), 1e-3))
+	}
+	rate := rampGain * max(ep.base, ep.rate/(2*peers)) * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
+	gap := seconds(min(longest, 1/max(rate, 1e-3)))
+	if ep.health == probation { // young trouble cannot have left anything cold
+		gap = min(gap, max(s.now-ep.failing, minLate)/2)
 	}
-	base := max(ep.base, ep.rate/float64(2*peers), rampFloor)
-	warm := min(1, (s.now-ep.since).Seconds()/max(s.set.WarmUp.Seconds(), 1e-3))
-	return rampGain * base * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
+	return gap
 }
 
 func (s *Sender) probeEnded(e Probed) {
@@ -543,18 +534,15 @@
 		return
 	}
 	if ep.vouched = e.Outcome == OK; ep.vouched {
-		ep.nextTrial = min(ep.nextTrial, s.now+s.trialGap(ep)/2)
+		ep.charged -= s.gap(ep) / 2
 	}
 }
 
 // gate is the earliest time at which pace and health let a call go to an endpoint.
 func (s *Sender) gate(ep *endpoint) time.Duration {
 	at := ep.lane.pace.readyAt()
-	switch ep.health {
-	case probation:
-		at = max(at, ep.nextTrial)
-	case ramping:
-		at = max(at, ep.nextRamp)
+	if ep.health != healthy {
+		at = max(at, ep.charged+s.gap(ep))
 	}
 	return at
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -62,9 +62,8 @@
 	failing    time.Duration // since when
 	lastAnswer time.Duration
 	delivered  meter
-	base       float64 // calls a second delivered before the outage
-	nextTrial  time.Duration
-	nextRamp   time.Duration
+	base       float64       // calls a second delivered before the outage
+	charged    time.Duration // the last call or probe that counted
 	probing    bool
 	renewed    time.Duration // when its connections were last renewed for silence
 	vouched    bool          // a probe went well in this probation
