--- a/rules/rules.go
+++ b/rules/rules.go
@@ -92,9 +92,10 @@
 	}
 }
 
-// lapse unbinds a pace that has seen no refusal for long.
+// lapse unbinds a pace that has seen no refusal for long. Not while messages wait for it: that guards against
+// the whole backlog leaving in one burst; a limit that has grown far is then found by climbing only.
 func (p *pace) lapse(now time.Duration) {
-	if p.rate > 0 && now-max(p.lastRefusal, p.haltUntil) >= paceLapse {
+	if p.rate > 0 && !p.waited && now-max(p.lastRefusal, p.haltUntil) >= paceLapse {
 		p.rate, p.next = 0, 0
 	}
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -502,6 +502,12 @@
 	if p.rate == 0 {
 		t.Error("lapsed early")
 	}
+	p.waited = true
+	p.lapse(10*sec + paceLapse)
+	if p.rate == 0 {
+		t.Error("lapsed though messages wait for it: the backlog would go out in one burst")
+	}
+	p.waited = false
 	p.lapse(10*sec + paceLapse)
 	if p.rate != 0 || p.next != 0 {
 		t.Error("still bound after the quiet time")
