Count the lapse from the last message that waited

Cause: a climb cleared the waited mark, and the pace lapsed in the moment before the next message waited.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -74,7 +74,7 @@
 	}
 	p.step = climbShare * before
 	p.rate = max(before*cutFactor, minPace)
-	p.lastCut, p.lastChange, p.waited = now, now, false
+	p.lastCut, p.lastChange = now, now
 	p.next = max(p.next, now+seconds(1/p.rate))
 }
 
@@ -86,16 +86,16 @@
 
 // onSuccess climbs one step if the interval has passed and a message waited.
 func (p *pace) onSuccess(now time.Duration) {
-	if p.rate > 0 && p.waited && now-p.lastChange >= climbInterval {
+	if p.rate > 0 && p.lastWaited > p.lastChange && now-p.lastChange >= climbInterval {
 		p.rate += p.step
-		p.lastChange, p.waited = now, false
+		p.lastChange = now
 	}
 }
 
 // lapse unbinds a pace that has seen no refusal for long. Not while messages wait for it: that guards against
 // the whole backlog leaving in one burst; a limit that has grown far is then found by climbing only.
 func (p *pace) lapse(now time.Duration) {
-	if p.rate > 0 && !p.waited && now-max(p.lastRefusal, p.haltUntil) >= paceLapse {
+	if p.rate > 0 && now-max(p.lastRefusal, p.haltUntil, p.lastWaited) >= paceLapse {
 		p.rate, p.next = 0, 0
 	}
 }
@@ -612,7 +612,7 @@
 		}
 		if s.gate(ep) > s.now {
 			if ep.lane.pace.next > s.now && s.anyWaits(d) {
-				ep.lane.pace.waited = true
+				ep.lane.pace.lastWaited = s.now
 			}
 		} else if s.hasRoom(ep) {
 			ready = append(ready, ep)
--- a/rules/state.go
+++ b/rules/state.go
@@ -253,7 +253,7 @@
 	rate, step          float64
 	lastCut, lastChange time.Duration
 	lastRefusal         time.Duration
-	waited              bool          // a message waited for the pace since the last change
+	lastWaited          time.Duration // when a message last waited for the pace
 	next                time.Duration // the next call may leave now
 	haltUntil           time.Duration // a told wait
 	sent, refused       meter
