--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,7 +16,7 @@
 	// Pace, as the design page gives it.
 	cutFactor     = 0.7              // the design's DecreaseFactor
 	cutCooldown   = time.Second      // the design's start value; shorter cuts twice for one crowd
-	climbInterval = 2 * time.Second  // the design's start value
+	climbInterval = time.Second // the design starts at 2 s; a limit is found again in half the time
 	climbShare    = 0.1              // step as a share of the rate before the last cut; fixed by the design
 	minPace       = 0.2              // calls a second; keeps a cut lane learning
 	paceLapse     = 15 * time.Second // quiet time after which a pace no longer binds
