Suspect more slowly, learn latency more slowly, ramp a little steeper

Cause: false outages cost ten seconds of ramp each: limits taken for shut, slow answers taken for silence. May hurt where a hang is short and at-most-once messages go on into it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,30 +16,30 @@
 	// Pace, as the design page gives it.
 	cutFactor     = 0.7              // the design's DecreaseFactor
 	cutCooldown   = time.Second      // the design's start value; shorter cuts twice for one crowd
-	climbInterval = time.Second // the design starts at 2 s; a limit is found again in half the time
+	climbInterval = time.Second      // the design starts at 2 s; a limit is found again in half the time
 	climbShare    = 0.1              // step as a share of the rate before the last cut; fixed by the design
 	minPace       = 0.2              // calls a second; keeps a cut lane learning
 	paceLapse     = 15 * time.Second // quiet time after which a pace no longer binds
 	sendMemory    = 2 * time.Second  // span over which send and refusal rates are measured
 
 	// Health.
-	deliveredMemory = 10 * time.Second        // span over which a delivered rate is measured; an outage's length
-	failStreak      = 2                       // failures in a row that are not chance
-	refusalStreak   = 3                       // refusals in a row without a success: shut rather than full
-	refusalSpan     = 1500 * time.Millisecond // and over at least this long; a limit frees room sooner
-	silenceFactor   = 2                       // silence, in late-answer times, that counts as an outage
-	curedMemory     = 10 * time.Second        // two silences cured by a fresh connection in this: a pattern
-	briefTrouble    = 3 * time.Second         // trouble shorter than this leaves nothing cold
-	longWait        = 2 * time.Second         // a told wait beyond a limit's own: the destination is shut
-	rampGain        = 1.3                     // of its own part: below the overload factor, as others add
-	tableMemory     = 5 * time.Second         // how long a full connection table caps concurrency
+	deliveredMemory = 10 * time.Second // span over which a delivered rate is measured; an outage's length
+	failStreak      = 2                // failures in a row that are not chance
+	refusalStreak   = 3                // refusals in a row without a success: shut rather than full
+	refusalSpan     = 5 * time.Second  // and over at least this long; a limit frees room sooner
+	silenceFactor   = 3                // silence, in late-answer times, that counts as an outage
+	curedMemory     = 10 * time.Second // two silences cured by a fresh connection in this: a pattern
+	briefTrouble    = 3 * time.Second  // trouble shorter than this leaves nothing cold
+	longWait        = 5 * time.Second  // a told wait beyond a limit's own: the destination is shut
+	rampGain        = 1.5              // of its own part: below the overload factor, as others add
+	tableMemory     = 5 * time.Second  // how long a full connection table caps concurrency
 
 	// Latency.
-	latGain     = 0.25                   // weight of a new latency sample
+	latGain     = 0.125                  // weight of a new latency sample
 	firstLate   = 2 * time.Second        // late-answer time before any sample
 	minLate     = 500 * time.Millisecond // least late-answer time: service times have long tails
 	maxLate     = 8 * time.Second        // most: a slow endpoint must still be found silent in time
-	patience    = 3                      // time-out of a repeatable call, in late-answer times
+	patience    = 5                      // time-out of a repeatable call, in late-answer times
 	minPatience = 1500 * time.Millisecond
 	copyAfter   = 3 // age, in late-answer times, at which a copy elsewhere may start
 
