--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,7 +20,7 @@
 	climbShare    = 0.1              // step as a share of the rate before the last cut; fixed by the design
 	minPace       = 0.2              // calls a second; keeps a cut lane learning
 	paceLapse     = 15 * time.Second // quiet time after which a pace no longer binds
-	sendMemory    = 2 * time.Second  // span over which send and refusal rates are measured
+	sendMemory    = 3 * time.Second  // span over which send and refusal rates are measured
 
 	// Health.
 	deliveredMemory = 10 * time.Second // span over which a delivered rate is measured; an outage's length
@@ -49,7 +49,7 @@
 	minHorizon  = 250 * time.Millisecond // look-ahead for worth lost by waiting
 	maxHorizon  = 10 * time.Second
 	baseUrgency = 0.05                   // weight of a message's worth that waiting does not reduce
-	worthTime   = 10.0                   // seconds of latency that one unit of worth in fees outweighs
+	worthTime   = 20.0                   // seconds of latency that one unit of worth in fees outweighs
 	handshake   = 100 * time.Millisecond // latency that a connection likely open saves
 	shareMemory = 10 * time.Second       // span over which tenants' shares are measured
 
@@ -57,8 +57,9 @@
 	never     = time.Duration(math.MaxInt64)
 )
 
-// onFull takes a refusal of a call sent at sentAt. A listed rate, where there is one, seeds the first cut:
-// the measured rate of a short burst may be far off it either way.
+// onFull takes a refusal of a call sent at sentAt. A listed rate seeds the first cut, as the measured
+// rate of a short burst may be far off it, and a third of this sender's part of it is the minimum.
+// Guards against a chain of cuts while a limit was low; too much where the list is long out of date.
 func (p *pace) onFull(now, sentAt time.Duration, listed float64, senders int) {
 	p.refused.add(now, sendMemory, 1)
 	p.lastRefusal = now
@@ -73,7 +74,7 @@
 		}
 	}
 	p.step = climbShare * before
-	p.rate = max(before*cutFactor, minPace)
+	p.rate = max(before*cutFactor, minPace, listed/float64(3*max(senders, 1)))
 	p.lastCut, p.lastChange = now, now
 	p.next = max(p.next, now+seconds(1/p.rate))
 }
