--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,7 +28,7 @@
 	refusalStreak   = 3                // refusals in a row without a success: shut rather than full
 	refusalSpan     = 5 * time.Second  // and over at least this long; a limit frees room sooner
 	silenceFactor   = 3                // silence, in late-answer times, that counts as an outage
-	curedMemory     = 10 * time.Second // two silences cured by a fresh connection in this: a pattern
+	curedMemory     = 10 * time.Second // a silence cured by a fresh connection in this: a pattern
 	briefTrouble    = 3 * time.Second  // trouble shorter than this leaves nothing cold
 	longWait        = 5 * time.Second  // a told wait beyond a limit's own: the destination is shut
 	rampGain        = 1.5              // of its own part: below the overload factor, as others add
@@ -276,9 +276,10 @@
 }
 
 // timeout is how long to wait on a call. Only what may be sent again is timed out early: for the rest it
-// would buy nothing but the slot, which cancelling under pressure does (freeSlot).
+// would buy nothing but the slot, which cancelling under pressure does (freeSlot). A keyed call's own answer
+// may come after a hang, when its window is long over; it is given up only where connections die.
 func (s *Sender) timeout(m *message, ep *endpoint) time.Duration {
-	if m.class.Effect == AtMostOnce {
+	if m.class.Effect == AtMostOnce || m.class.Effect == Keyed && !s.dying() {
 		return 0
 	}
 	return max(seconds(s.lateAfter(ep).Seconds()*patience*(1+float64(min(ep.fails, 4))/2)), minPatience)
@@ -462,7 +463,7 @@
 // findSilence puts endpoints on probation that answer nothing of what they have. A hang never refuses.
 // Where fresh connections have lately cured silence, they are tried first, and sooner.
 func (s *Sender) findSilence() {
-	dying := s.cured.perSecond(s.now, curedMemory) > 2/curedMemory.Seconds()
+	dying := s.dying()
 	for _, d := range s.order {
 		for _, ep := range d.endpoints {
 			ep.lane.pace.lapse(s.now)
@@ -484,12 +485,16 @@
 	}
 }
 
+// dying tells whether fresh connections have lately cured silence, so that old ones are not to be trusted.
+func (s *Sender) dying() bool { return s.cured.perSecond(s.now, curedMemory) > 1/curedMemory.Seconds() }
+
 // withdraw calls off what an endpoint has left unanswered and may be sent again, so that it goes out anew on
 // a fresh connection. Guards against connections that died unnoticed while their endpoint is well; at an
 // endpoint that is merely slow it wastes the work begun.
 func (s *Sender) withdraw(ep *endpoint) {
 	for _, c := range ep.calls {
-		if s.set.MayCancel && !c.cancelled && c.attempts[0].msg.class.Effect != AtMostOnce {
+		effect := c.attempts[0].msg.class.Effect
+		if s.set.MayCancel && !c.cancelled && (effect == Safe || effect == Keyed && s.dying()) {
 			s.cancel(c)
 		}
 	}
