Ramp at this sender's whole part of the rule's budget; one failure there is chance

It guards rule 4, so it stays, at the overload factor of the settings in place of a tuned gain, from the undecayed delivery before, and with the same two failures in a row as elsewhere.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,7 +31,6 @@
 	curedMemory     = 10 * time.Second // a silence cured by a fresh connection in this: a pattern
 	briefTrouble    = 3 * time.Second  // trouble shorter than this leaves nothing cold
 	longWait        = 5 * time.Second  // a told wait beyond a limit's own: the destination is shut
-	rampGain        = 1.5              // of its own part: below the overload factor, as others add
 	tableMemory     = 5 * time.Second  // how long a full connection table caps concurrency
 
 	// Latency.
@@ -412,7 +411,7 @@
 	switch {
 	case ep.health == probation:
 		ep.vouched = false
-	case ep.health == ramping && sent >= ep.since, ep.fails >= failStreak:
+	case ep.fails >= failStreak:
 		s.suspend(ep, why)
 	}
 }
@@ -420,7 +419,7 @@
 // suspend puts an endpoint on probation.
 func (s *Sender) suspend(ep *endpoint, why Outcome) {
 	if ep.health == healthy {
-		ep.base = ep.delivered.perSecond(s.now, deliveredMemory)
+		ep.base = ep.delivered.perSecond(ep.delivered.last, deliveredMemory)
 	}
 	ep.health, ep.since, ep.symptom, ep.vouched = probation, s.now, why, false
 	ep.charged = s.now
@@ -523,7 +522,7 @@
 	if ep.health == ramping {
 		warm = min(1, (s.now-ep.since).Seconds()/max(s.set.WarmUp.Seconds(), 1e-3))
 	}
-	rate := rampGain * max(ep.base, ep.rate/(2*peers)) * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
+	rate := s.set.OverloadFactor * max(ep.base, ep.rate/(2*peers)) * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
 	gap := seconds(min(longest, 1/max(rate, 1e-3)))
 	if ep.health == probation { // young trouble cannot have left anything cold
 		gap = min(gap, max(s.now-ep.failing, minLate)/2)
