--- a/rules/api.go
+++ b/rules/api.go
@@ -72,7 +72,6 @@
 	MayAdvise      bool // a refusal may say when to come back
 	MayCancel      bool
 	MayProbe       bool
-	MayCopy        bool // two attempts of one message may be out together
 
 	AnswerGrace    time.Duration // a final answer still counts this long after the deadline
 	DrainGrace     time.Duration
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,7 +31,6 @@
 	curedMemory     = 10 * time.Second // a silence cured by a fresh connection in this: a pattern
 	briefTrouble    = 3 * time.Second  // trouble shorter than this leaves nothing cold
 	longWait        = 5 * time.Second  // a told wait beyond a limit's own: the destination is shut
-	tableMemory     = 5 * time.Second  // how long a full connection table caps concurrency
 
 	// Latency.
 	latGain     = 0.125                  // weight of a new latency sample
@@ -40,7 +39,6 @@
 	maxLate     = 8 * time.Second        // most: a slow endpoint must still be found silent in time
 	patience    = 5                      // time-out of a repeatable call, in late-answer times
 	minPatience = 1500 * time.Millisecond
-	copyAfter   = 3 // age, in late-answer times, at which a copy elsewhere may start
 
 	// Room and order.
 	laneShare   = 0.4                    // of the slots that one lane may fill
@@ -229,13 +227,13 @@
 
 // maySend is the guard that every send passes; it holds the rules, whatever the plan says.
 func (s *Sender) maySend(m *message, ep *endpoint) bool {
-	if m.over || m.streamed || s.now >= s.due(m) || s.spent(m) || !ep.listed || ep.dest != m.dest {
+	if m.over || m.streamed || len(m.out) > 0 || s.now >= s.due(m) || s.spent(m) {
 		return false
 	}
-	if s.now < ep.lane.pace.haltUntil {
+	if !ep.listed || ep.dest != m.dest {
 		return false
 	}
-	if len(m.out) > 0 && (!s.set.MayCopy || m.class.Effect == AtMostOnce) {
+	if s.now < ep.lane.pace.haltUntil {
 		return false
 	}
 	if m.class.Effect == Keyed && !s.keyHolds(m, ep) {
@@ -246,12 +244,12 @@
 
 // keyHolds tells whether a keyed message may go to ep: inside window and scope of what may have run.
 func (s *Sender) keyHolds(m *message, ep *endpoint) bool {
-	first, at := m.firstRun()
+	at := m.mayRunAt
 	if at == nil {
 		return true
 	}
 	inScope := m.class.Scope == ScopeDestination || at == ep || m.class.Scope == ScopeZone && at.zone == ep.zone
-	return inScope && s.now+s.set.Tick < first+m.class.Window
+	return inScope && s.now+s.set.Tick < m.mayRun+m.class.Window
 }
 
 // hasTurn tells whether a message is first of its key, with nothing of an earlier one still about.
@@ -367,13 +365,7 @@
 		s.failed(ep, c.sent, e.Outcome)
 	case Cancelled:
 		s.act(CloseIdle{Endpoint: ep.id})
-	case ConnectError:
-		if len(ep.calls) > 0 && ep.lastAnswer > c.sent {
-			ep.tableCap, ep.tableUntil = len(ep.calls), s.now+tableMemory // others get through: its table is full
-			return
-		}
-		s.failed(ep, c.sent, e.Outcome)
-	case Errored, Reset:
+	case Errored, Reset, ConnectError:
 		s.failed(ep, c.sent, e.Outcome)
 	}
 }
@@ -555,18 +547,12 @@
 
 // hasRoom tells whether one more call to the endpoint leaves slots for other lanes.
 func (s *Sender) hasRoom(ep *endpoint) bool {
-	if ep.tableCap > 0 && s.now < ep.tableUntil && len(ep.calls) >= ep.tableCap {
-		return false
-	}
 	return ep.health == probation || ep.lane.inflight < max(2, int(laneShare*float64(s.set.Slots)))
 }
 
 // fits tells whether a message suits an endpoint's health: what may not be repeated stays away from one that
 // answers late, or may swallow it.
 func (s *Sender) fits(m *message, ep *endpoint) bool {
-	if len(m.out) > 0 {
-		return ep.health == healthy && m.out[0].call.ep != ep && s.overdue(m)
-	}
 	if ep.health == probation && m.tries+1 >= s.set.MaxAttempts {
 		return false // its last attempt is for a better time
 	}
@@ -579,12 +565,6 @@
 	return ep.vouched || ep.symptom == ConnectError || ep.symptom == Full || !s.set.MayProbe
 }
 
-// overdue tells whether a message's only attempt is so late that a copy elsewhere is worth its price.
-func (s *Sender) overdue(m *message) bool {
-	c := m.out[0].call
-	return len(m.out) == 1 && s.now-c.sent > copyAfter*s.lateAfter(c.ep)
-}
-
 // dispatch makes calls while there are slots, best first, and frees a slot if a good call finds none.
 func (s *Sender) dispatch() {
 	for {
--- a/rules/state.go
+++ b/rules/state.go
@@ -68,10 +68,8 @@
 	renewed    time.Duration // when its connections were last renewed for silence
 	vouched    bool          // a probe went well in this probation
 
-	peak       int // most calls out at once while connections stayed open
-	lastUse    time.Duration
-	tableCap   int // calls at once that its connection table seems to take; 0 unknown
-	tableUntil time.Duration
+	peak    int // most calls out at once while connections stayed open
+	lastUse time.Duration
 }
 
 type destination struct {
@@ -325,14 +323,3 @@
 	}
 	return s.now - max(ep.lastAnswer, ep.calls[0].sent)
 }
-
-// firstRun is when and where the earliest attempt went that has run or may yet, (never, nil) for none.
-func (m *message) firstRun() (time.Duration, *endpoint) {
-	first, at := m.mayRun, m.mayRunAt
-	for _, a := range m.out {
-		if a.call.sent < first {
-			first, at = a.call.sent, a.call.ep
-		}
-	}
-	return first, at
-}
