--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,7 +24,7 @@
 
 	// Health.
 	deliveredMemory = 10 * time.Second // span over which a delivered rate is measured; an outage's length
-	failStreak      = 2                // failures in a row that are not chance
+	failStreak      = 4                // failures in a row: an outage, even where half the calls fail
 	refusalStreak   = 3                // refusals in a row without a success: shut rather than full
 	refusalSpan     = 5 * time.Second  // and over at least this long; a limit frees room sooner
 	silenceFactor   = 3                // silence, in late-answer times, that counts as an outage
@@ -44,7 +44,7 @@
 	laneShare   = 0.4                    // of the slots that one lane may fill
 	roomMargin  = 16                     // part of the holding room kept free for newcomers: 1/16
 	minHorizon  = 250 * time.Millisecond // look-ahead for worth lost by waiting
-	maxHorizon  = 10 * time.Second
+	maxHorizon  = 3 * time.Second        // and at most: who is late by then has lost most of it
 	baseUrgency = 0.05                   // weight of a message's worth that waiting does not reduce
 	worthTime   = 20.0                   // seconds of latency that one unit of worth in fees outweighs
 	handshake   = 100 * time.Millisecond // latency that a connection likely open saves
@@ -391,8 +391,8 @@
 	}
 }
 
-// failed takes a failure. Two in a row, or one while not yet warm, start probation.
-// Guards against any outage that ends in a cold return; a chance pair of errors costs one ramp.
+// failed takes a failure. Several in a row start probation.
+// Guards against any outage that ends in a cold return; a chance run of errors costs one ramp.
 func (s *Sender) failed(ep *endpoint, sent time.Duration, why Outcome) {
 	if why == TimedOut && ep.lastAnswer > sent {
 		return // one call lost where others are answered
