--- a/rules/rules.go
+++ b/rules/rules.go
@@ -14,41 +14,39 @@
 // Tuned values. Each holds for every deployment; what differs between them comes with the settings.
 const (
 	// Pace, as the design page gives it.
-	cutFactor     = 0.7              // the design's DecreaseFactor
-	cutCooldown   = time.Second      // the design's start value; shorter cuts twice for one crowd
+	cutFactor     = 0.7              // the design's DecreaseFactor; 0.8 loses where routes are apart
+	cutCooldown   = time.Second      // the design's start value; 2 s lets refusals run on
 	climbInterval = time.Second      // the design starts at 2 s; a limit is found again in half the time
 	climbShare    = 0.1              // step as a share of the rate before the last cut; fixed by the design
 	minPace       = 0.2              // calls a second; keeps a cut lane learning
-	paceLapse     = 15 * time.Second // quiet time after which a pace no longer binds
-	sendMemory    = 3 * time.Second  // span over which send and refusal rates are measured
+	paceLapse     = 15 * time.Second // quiet time after which a pace no longer binds; 8 s brings bursts
+	sendMemory    = 3 * time.Second  // span of send and refusal rates; 1 s takes a clump for a rate
 
 	// Health.
 	deliveredMemory = 10 * time.Second // span over which a delivered rate is measured; an outage's length
-	failStreak      = 4                // failures in a row: an outage, even where half the calls fail
+	failStreak      = 4                // failures in a row: an outage; 2 mistakes half the calls failing for one
 	refusalStreak   = 3                // refusals in a row without a success: shut rather than full
-	refusalSpan     = 5 * time.Second  // and over at least this long; a limit frees room sooner
-	silenceFactor   = 3                // silence, in late-answer times, that counts as an outage
+	refusalSpan     = 5 * time.Second  // and over at least this long; 1.5 s takes limits for outages
+	silenceFactor   = 3                // silence, in late-answer times, that is an outage; 2 suspects slow ones
 	curedMemory     = 10 * time.Second // a silence cured by a fresh connection in this: a pattern
 	briefTrouble    = 3 * time.Second  // trouble shorter than this leaves nothing cold
-	longWait        = 5 * time.Second  // a told wait beyond a limit's own: the destination is shut
+	longWait        = 5 * time.Second  // a told wait beyond a limit's own: shut; 2 s takes limits for it
 
 	// Latency.
-	latGain     = 0.125                  // weight of a new latency sample
-	firstLate   = 2 * time.Second        // late-answer time before any sample
-	minLate     = 500 * time.Millisecond // least late-answer time: service times have long tails
-	maxLate     = 8 * time.Second        // most: a slow endpoint must still be found silent in time
-	patience    = 5                      // time-out of a repeatable call, in late-answer times
-	minPatience = 1500 * time.Millisecond
-
-	// Room and order.
-	laneShare   = 0.4                    // of the slots that one lane may fill
-	roomMargin  = 16                     // part of the holding room kept free for newcomers: 1/16
-	minHorizon  = 250 * time.Millisecond // look-ahead for worth lost by waiting
-	maxHorizon  = 3 * time.Second        // and at most: who is late by then has lost most of it
-	baseUrgency = 0.05                   // weight of a message's worth that waiting does not reduce
-	worthTime   = 20.0                   // seconds of latency that one unit of worth in fees outweighs
-	handshake   = 100 * time.Millisecond // latency that a connection likely open saves
-	shareMemory = 10 * time.Second       // span over which tenants' shares are measured
+	latGain     = 0.125                   // weight of a new latency sample; 1/4 is jumpy, 1/16 slow to follow
+	firstLate   = 2 * time.Second         // late-answer time before any sample
+	minLate     = 500 * time.Millisecond  // least late-answer time: service times have long tails
+	maxLate     = 8 * time.Second         // most: a slow endpoint must still be found silent in time
+	patience    = 5                       // time-out of a repeatable call, in late-answer times; 3 is wasteful
+	minPatience = 1500 * time.Millisecond // least such time-out: a connect and a service time
+	laneShare   = 0.4                     // of the slots that one lane may fill; 0.6 is even, all of them worse
+	roomMargin  = 16                      // part of the holding room kept free for newcomers: 1/16
+	minHorizon  = 250 * time.Millisecond  // look-ahead for worth lost by waiting
+	maxHorizon  = 3 * time.Second         // and at most: later losses count little; 10 s is worse in backlogs
+	baseUrgency = 0.05                    // weight of a message's whole worth; 0.3 loses on even falls
+	worthTime   = 20.0                    // seconds of latency that one worth of fees outweighs (10 to 30: even)
+	handshake   = 100 * time.Millisecond  // latency that a connection likely open saves; 250 ms is even
+	shareMemory = 10 * time.Second        // span over which tenants' shares are measured
 
 	pollEvery = 250 * time.Millisecond // wake-ups while anything waits
 	never     = time.Duration(math.MaxInt64)
@@ -617,8 +615,7 @@
 	return plan{}
 }
 
-// price orders endpoints: likely time to the answer, with fees turned into time. A trial costs its risk only
-// if nothing better is there.
+// price orders endpoints: likely time to the answer, with fees turned into time.
 func (s *Sender) price(ep *endpoint) float64 {
 	t := firstLate.Seconds() / 4
 	if ep.known {
