--- a/rules/rules.go
+++ b/rules/rules.go
@@ -53,7 +53,7 @@
 )
 
 // onFull takes a refusal of a call sent at sentAt. A listed rate seeds the first cut, as the measured
-// rate of a short burst may be far off it, and a third of this sender's part of it is the minimum.
+// rate of a short burst may be far off it, and half of this sender's part of it is the minimum.
 // Guards against a chain of cuts while a limit was low; too much where the list is long out of date.
 func (p *pace) onFull(now, sentAt time.Duration, listed float64, senders int) {
 	p.refused.add(now, sendMemory, 1)
@@ -69,7 +69,7 @@
 		}
 	}
 	p.step = climbShare * before
-	p.rate = max(before*cutFactor, minPace, listed/float64(3*max(senders, 1)))
+	p.rate = max(before*cutFactor, minPace, listed/float64(2*max(senders, 1)))
 	p.lastCut, p.lastChange = now, now
 	p.next = max(p.next, now+seconds(1/p.rate))
 }
