Close idle connections at kinds seen short of them

Told from an outage: no connection in one moment, an answer in the next, at the same endpoint. Who holds a connection sees no failure, so the sign counts for the kind. Also guards against any table of connections that many share; where connects fail by chance it costs handshakes.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -48,6 +48,8 @@
 	handshake   = 100 * time.Millisecond  // latency that a connection likely open saves; 250 ms is even
 	shareMemory = 10 * time.Second        // span over which tenants' shares are measured
 
+	crowdMemory = 5 * time.Minute // how long a kind counts as short of connections; they seldom get more
+
 	pollEvery = 250 * time.Millisecond // wake-ups while anything waits
 	never     = time.Duration(math.MaxInt64)
 )
@@ -124,6 +126,7 @@
 	s.endDue()
 	s.findSilence()
 	s.dispatch()
+	s.yieldConnections()
 	s.makeRoom()
 	s.scheduleWake()
 	return s.actions
@@ -350,6 +353,7 @@
 // judge takes what a call's outcome says of its endpoint and lane.
 func (s *Sender) judge(c *call, e Ended) {
 	ep := c.ep
+	s.idled = append(s.idled, ep)
 	if e.Report.Limit > 0 {
 		ep.lane.reported = e.Report.Limit
 	}
@@ -371,6 +375,9 @@
 // succeeded takes an answer. In probation only one to a call sent since it began starts the ramp: older ones
 // may have been served before the outage.
 func (s *Sender) succeeded(ep *endpoint, sent, elapsed time.Duration) {
+	if ep.fails > 0 && ep.lastFailure == ConnectError && sent > ep.failing && s.now-ep.failing < briefTrouble {
+		s.crowded[ep.kind] = s.now + crowdMemory
+	}
 	ep.sample(elapsed)
 	ep.lastAnswer, ep.fails = s.now, 0
 	ep.delivered.add(s.now, deliveredMemory, 1)
@@ -395,6 +402,7 @@
 	if why == TimedOut && ep.lastAnswer > sent {
 		return // one call lost where others are answered
 	}
+	ep.lastFailure = why
 	if ep.fails++; ep.fails == 1 && ep.health == healthy {
 		ep.failing = sent
 	}
@@ -477,6 +485,19 @@
 // dying tells whether fresh connections have lately cured silence, so that old ones are not to be trusted.
 func (s *Sender) dying() bool { return s.cured.perSecond(s.now, curedMemory) > 1/curedMemory.Seconds() }
 
+// yieldConnections closes connections as they fall idle at endpoints of a kind that has been seen short of them:
+// no connection in one moment, an answer in the next. Guards against hundreds of senders that keep a table full
+// with connections they hardly use, so that it goes by the kind: who holds one sees no failure there.
+// Where connects fail by chance it costs a handshake a call.
+func (s *Sender) yieldConnections() {
+	for _, ep := range s.idled {
+		if s.now < s.crowded[ep.kind] {
+			s.act(CloseIdle{Endpoint: ep.id})
+		}
+	}
+	s.idled = s.idled[:0]
+}
+
 // withdraw calls off what an endpoint has left unanswered and may be sent again, so that it goes out anew on
 // a fresh connection. Guards against connections that died unnoticed while their endpoint is well; at an
 // endpoint that is merely slow it wastes the work begun.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -870,3 +870,36 @@
 		t.Error("two runs of the same events differ")
 	}
 }
+
+// Hundreds of senders share an endpoint's few connections.
+
+func TestYieldsIdleConnectionsWhereTheyRunShort(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		failed  Outcome
+		between time.Duration
+		want    int
+	}{
+		{"no connection, then an answer", ConnectError, 100 * ms, 1},
+		{"an error, then an answer", Errored, 100 * ms, 0},
+		{"no connection for long, as in an outage", ConnectError, 5 * sec, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1}, Entry{Endpoint: 21, Destination: 2},
+				Entry{Endpoint: 31, Destination: 3, Kind: 2})
+			b.take(safe)
+			b.end("m1", 0, 11, c.failed)
+			b.wait(c.between)
+			b.end("m1", 1, 11, OK)
+			closed := map[EndpointID]int{}
+			for dest, ep := range map[int]EndpointID{2: 21, 3: 31} {
+				id := b.arrive(safe)
+				b.step(Arrived{ID: id, Destination: dest, Class: safe, TimeLeft: 16 * sec})
+				closed[ep] = len(pick[CloseIdle](b.end(id, 0, ep, OK)))
+			}
+			if closed[21] != c.want || closed[31] != 0 {
+				t.Errorf("closed %v, want %d at the same kind and none at the other", closed, c.want)
+			}
+		})
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -68,6 +68,8 @@
 	renewed    time.Duration // when its connections were last renewed for silence
 	vouched    bool          // a probe went well in this probation
 
+	lastFailure Outcome
+
 	peak    int // most calls out at once while connections stayed open
 	lastUse time.Duration
 }
@@ -138,8 +140,10 @@
 	slots     int // in use
 	arrivals  []meter
 	total     meter
-	cured     meter   // silences that a fresh connection ended
-	quotas    float64 // of all tenants
+	cured     meter                 // silences that a fresh connection ended
+	quotas    float64               // of all tenants
+	crowded   map[int]time.Duration // by kind: until when its endpoints count as short of connections
+	idled     []*endpoint           // had a call end in this step
 	wakeAt    time.Duration
 	watchAt   time.Duration
 	actions   []Action
@@ -149,7 +153,7 @@
 func New(set Settings) *Sender {
 	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never,
 		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
-		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, arrivals: make([]meter, len(set.Tenants))}
+		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, crowded: map[int]time.Duration{}, arrivals: make([]meter, len(set.Tenants))}
 	for _, t := range set.Tenants {
 		s.quotas += t.Quota
 	}
