Yield idle connections, and pause after failures, in a crowd of senders

Told from an outage: no connection in one moment, an answer in the next, at the same endpoint. A second one: each sender of a crowd tried four times at once after a failure, which together pushed a destination that had hung. The pause now doubles, is the lane's, and grows with the senders.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -23,14 +23,15 @@
 	sendMemory    = 3 * time.Second  // span of send and refusal rates; 1 s takes a clump for a rate
 
 	// Health.
-	deliveredMemory = 10 * time.Second // span over which a delivered rate is measured; an outage's length
-	failStreak      = 4                // failures in a row: an outage; 2 mistakes half the calls failing for one
-	refusalStreak   = 3                // refusals in a row without a success: shut rather than full
-	refusalSpan     = 5 * time.Second  // and over at least this long; 1.5 s takes limits for outages
-	silenceFactor   = 3                // silence, in late-answer times, that is an outage; 2 suspects slow ones
-	curedMemory     = 10 * time.Second // a silence cured by a fresh connection in this: a pattern
-	briefTrouble    = 3 * time.Second  // trouble shorter than this leaves nothing cold
-	longWait        = 5 * time.Second  // a told wait beyond a limit's own: shut; 2 s takes limits for it
+	deliveredMemory = 10 * time.Second     // span over which a delivered rate is measured; an outage's length
+	retryPause      = 5 * time.Millisecond // for each sender beyond a crowd: they must not retry at once
+	failStreak      = 4                    // failures in a row: an outage; 2 mistakes half the calls for one
+	refusalStreak   = 3                    // refusals in a row without a success: shut rather than full
+	refusalSpan     = 5 * time.Second      // and over at least this long; 1.5 s takes limits for outages
+	silenceFactor   = 3                    // late-answer times of silence: an outage; 2 suspects slow ones
+	curedMemory     = 10 * time.Second     // a silence cured by a fresh connection in this: a pattern
+	briefTrouble    = 3 * time.Second      // trouble shorter than this leaves nothing cold
+	longWait        = 5 * time.Second      // a told wait beyond a limit's own: shut; 2 s takes limits for it
 
 	// Latency.
 	latGain     = 0.125                   // weight of a new latency sample; 1/4 is jumpy, 1/16 slow to follow
@@ -49,6 +50,7 @@
 	shareMemory = 10 * time.Second        // span over which tenants' shares are measured
 
 	crowdMemory = 5 * time.Minute // how long a kind counts as short of connections; they seldom get more
+	crowd       = 12              // more senders than this can fill a table or push an endpoint by one call each
 
 	pollEvery = 250 * time.Millisecond // wake-ups while anything waits
 	never     = time.Duration(math.MaxInt64)
@@ -379,7 +381,7 @@
 		s.crowded[ep.kind] = s.now + crowdMemory
 	}
 	ep.sample(elapsed)
-	ep.lastAnswer, ep.fails = s.now, 0
+	ep.lastAnswer, ep.fails, ep.lane.fails = s.now, 0, 0
 	ep.delivered.add(s.now, deliveredMemory, 1)
 	ep.lane.refusals = 0
 	ep.lane.pace.onSuccess(s.now)
@@ -396,8 +398,9 @@
 	}
 }
 
-// failed takes a failure. Several in a row start probation.
-// Guards against any outage that ends in a cold return; a chance run of errors costs one ramp.
+// failed takes a failure. In a crowd a pause follows that doubles with each more; several start probation.
+// Guards against any outage that ends in a cold return, and against a crowd of senders each trying just once
+// more as it does; a chance run of errors costs one ramp.
 func (s *Sender) failed(ep *endpoint, sent time.Duration, why Outcome) {
 	if why == TimedOut && ep.lastAnswer > sent {
 		return // one call lost where others are answered
@@ -406,6 +409,9 @@
 	if ep.fails++; ep.fails == 1 && ep.health == healthy {
 		ep.failing = sent
 	}
+	ep.lane.fails++
+	pause := retryPause.Seconds() * float64(max(s.set.Senders-crowd, 0)) * (0.5 + s.rng.Float64())
+	ep.lane.retryAt = s.now + seconds(pause*math.Exp2(float64(min(ep.lane.fails, 6)-1)))
 	switch {
 	case ep.health == probation:
 		ep.vouched = false
@@ -421,7 +427,7 @@
 	}
 	ep.health, ep.since, ep.symptom, ep.vouched = probation, s.now, why, false
 	ep.charged = s.now
-	if ep.unanswered() { // the first trial soon, on a fresh connection: only the old ones may be dead
+	if ep.unanswered() && s.set.Senders <= crowd { // a trial soon, on a fresh connection: the old may be dead
 		ep.charged -= s.gap(ep)
 		s.act(CloseIdle{Endpoint: ep.id})
 	}
@@ -485,13 +491,13 @@
 // dying tells whether fresh connections have lately cured silence, so that old ones are not to be trusted.
 func (s *Sender) dying() bool { return s.cured.perSecond(s.now, curedMemory) > 1/curedMemory.Seconds() }
 
-// yieldConnections closes connections as they fall idle at endpoints of a kind that has been seen short of them:
-// no connection in one moment, an answer in the next. Guards against hundreds of senders that keep a table full
-// with connections they hardly use, so that it goes by the kind: who holds one sees no failure there.
+// yieldConnections closes connections as they fall idle, where there is a crowd of senders or a kind has been
+// seen short of them: none in one moment, an answer in the next. Guards against senders that fill a table with
+// connections they hardly use; as who holds one sees no failure, the sign counts for the kind.
 // Where connects fail by chance it costs a handshake a call.
 func (s *Sender) yieldConnections() {
 	for _, ep := range s.idled {
-		if s.now < s.crowded[ep.kind] {
+		if s.set.Senders > crowd || s.now < s.crowded[ep.kind] {
 			s.act(CloseIdle{Endpoint: ep.id})
 		}
 	}
@@ -536,7 +542,7 @@
 	rate := s.set.OverloadFactor * max(ep.base, ep.rate/(2*peers)) * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
 	gap := seconds(min(longest, 1/max(rate, 1e-3)))
 	if ep.health == probation { // young trouble cannot have left anything cold
-		gap = min(gap, max(s.now-ep.failing, minLate)/2)
+		gap = min(gap, max(s.now-ep.failing, minLate)*time.Duration(max(s.set.Senders, 3))/6)
 	}
 	return gap
 }
@@ -561,6 +567,9 @@
 	if ep.health != healthy {
 		at = max(at, ep.charged+s.gap(ep))
 	}
+	if ep.fails > 0 {
+		at = max(at, ep.lane.retryAt)
+	}
 	return at
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -30,6 +30,8 @@
 	inflight  int
 	refusals  int           // in a row, each of a call sent after the one before was refused
 	refusedAt time.Duration // the first of them
+	fails     int           // since an answer, at any of its endpoints
+	retryAt   time.Duration // no call before at those that failed
 	reported  float64       // limit that the destination told, shared by all senders
 }
 
