--- a/rules/api.go
+++ b/rules/api.go
@@ -71,7 +71,6 @@
 	MaxRetryAfter  time.Duration
 	MayAdvise      bool // a refusal may say when to come back
 	MayCancel      bool
-	MayProbe       bool
 
 	AnswerGrace    time.Duration // a final answer still counts this long after the deadline
 	DrainGrace     time.Duration
@@ -106,7 +105,7 @@
 	Gone        bool
 }
 
-// Outcome is how an attempt or a probe ended.
+// Outcome is how an attempt ended.
 type Outcome int
 
 // The outcomes.
@@ -163,14 +162,6 @@
 	Attempt int
 }
 
-// Probed tells how a probe ended.
-type Probed struct {
-	Endpoint EndpointID
-	Outcome  Outcome
-	Elapsed  time.Duration
-	Report   Report
-}
-
 // Listed brings the registry's list, whole or as changes.
 type Listed struct {
 	Whole   bool
@@ -187,7 +178,6 @@
 func (Withdrawn) event()     {}
 func (Ended) event()         {}
 func (StreamStarted) event() {}
-func (Probed) event()        {}
 func (Listed) event()        {}
 func (ListFailed) event()    {}
 func (Woke) event()          {}
@@ -217,9 +207,6 @@
 	Attempt int
 }
 
-// Probe checks an endpoint.
-type Probe struct{ Endpoint EndpointID }
-
 // CloseIdle closes this sender's idle connections to an endpoint.
 type CloseIdle struct{ Endpoint EndpointID }
 
@@ -233,7 +220,6 @@
 func (Refuse) action()    {}
 func (Fail) action()      {}
 func (Cancel) action()    {}
-func (Probe) action()     {}
 func (CloseIdle) action() {}
 func (WakeAfter) action() {}
 func (Watch) action()     {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -146,8 +146,6 @@
 		s.attemptEnded(e)
 	case StreamStarted:
 		s.streamStarted(e)
-	case Probed:
-		s.probeEnded(e)
 	case Listed:
 		s.list(e)
 	case ListFailed:
@@ -266,11 +264,6 @@
 	for _, a := range s.open(ep, msgs).attempts {
 		s.act(Send{ID: a.id, Endpoint: ep.id, Timeout: s.timeout(a.msg, ep)})
 	}
-	s.countCall(ep)
-}
-
-// countCall charges a call or probe to the pace, and to the trials or the ramp.
-func (s *Sender) countCall(ep *endpoint) {
 	ep.lane.pace.onSend(s.now)
 	ep.charged = s.now
 }
@@ -398,7 +391,7 @@
 	}
 }
 
-// failed takes a failure. In a crowd a pause follows that doubles with each more; several start probation.
+// failed takes a failure. In a crowd a pause follows that grows with each more; several start probation.
 // Guards against any outage that ends in a cold return, and against a crowd of senders each trying just once
 // more as it does; a chance run of errors costs one ramp.
 func (s *Sender) failed(ep *endpoint, sent time.Duration, why Outcome) {
@@ -410,22 +403,32 @@
 		ep.failing = sent
 	}
 	ep.lane.fails++
-	pause := retryPause.Seconds() * float64(max(s.set.Senders-crowd, 0)) * (0.5 + s.rng.Float64())
-	ep.lane.retryAt = s.now + seconds(pause*math.Exp2(float64(min(ep.lane.fails, 6)-1)))
-	switch {
-	case ep.health == probation:
-		ep.vouched = false
-	case ep.fails >= failStreak:
+	ep.lane.retryAt = s.now + s.pause(ep)
+	if ep.health != probation && ep.fails >= failStreak {
 		s.suspend(ep, why)
 	}
 }
 
+// pause is how long a lane's failed endpoints are left alone: longer with each failure, up to the time in
+// which this sender's own traffic there would use its part of a cold destination's budget.
+func (s *Sender) pause(ep *endpoint) time.Duration {
+	routes := 1
+	if s.kind(ep).RoutesApart {
+		routes = len(ep.dest.endpoints)
+	}
+	own := ep.dest.wanted.perSecond(s.now, deliveredMemory) / float64(routes)
+	share := 1 / max(s.set.OverloadFactor*s.set.ColdShare*own, 1e-3)
+	growth := math.Exp2(float64(2 * min(ep.lane.fails-1, failStreak)))
+	first := retryPause.Seconds() * float64(max(s.set.Senders-crowd, 0))
+	return seconds(min(first*growth, share) * (0.5 + s.rng.Float64()))
+}
+
 // suspend puts an endpoint on probation.
 func (s *Sender) suspend(ep *endpoint, why Outcome) {
 	if ep.health == healthy {
 		ep.base = ep.delivered.perSecond(ep.delivered.last, deliveredMemory)
 	}
-	ep.health, ep.since, ep.symptom, ep.vouched = probation, s.now, why, false
+	ep.health, ep.since, ep.symptom = probation, s.now, why
 	ep.charged = s.now
 	if ep.unanswered() && s.set.Senders <= crowd { // a trial soon, on a fresh connection: the old may be dead
 		ep.charged -= s.gap(ep)
@@ -492,7 +495,7 @@
 func (s *Sender) dying() bool { return s.cured.perSecond(s.now, curedMemory) > 1/curedMemory.Seconds() }
 
 // yieldConnections closes connections as they fall idle, where there is a crowd of senders or a kind has been
-// seen short of them: none in one moment, an answer in the next. Guards against senders that fill a table with
+// seen short of them: none in one moment, an answer in the next. Guards against senders that fill tables with
 // connections they hardly use; as who holds one sees no failure, the sign counts for the kind.
 // Where connects fail by chance it costs a handshake a call.
 func (s *Sender) yieldConnections() {
@@ -547,20 +550,6 @@
 	return gap
 }
 
-func (s *Sender) probeEnded(e Probed) {
-	ep := s.endpoints[e.Endpoint]
-	if ep == nil || !ep.probing {
-		return
-	}
-	ep.probing = false
-	if ep.health != probation {
-		return
-	}
-	if ep.vouched = e.Outcome == OK; ep.vouched {
-		ep.charged -= s.gap(ep) / 2
-	}
-}
-
 // gate is the earliest time at which pace and health let a call go to an endpoint.
 func (s *Sender) gate(ep *endpoint) time.Duration {
 	at := ep.lane.pace.readyAt()
@@ -587,10 +576,7 @@
 	if m.class.Effect == Safe || m.class.Effect == Keyed && s.now-ep.failing < briefTrouble {
 		return true
 	}
-	if ep.health != probation {
-		return s.quiet(ep) <= s.lateAfter(ep)
-	}
-	return ep.vouched || ep.symptom == ConnectError || ep.symptom == Full || !s.set.MayProbe
+	return ep.health == probation || s.quiet(ep) <= s.lateAfter(ep)
 }
 
 // dispatch makes calls while there are slots, best first, and frees a slot if a good call finds none.
@@ -636,11 +622,6 @@
 		if p := s.fill(d, ep); p.ep != nil {
 			return p
 		}
-		if ep.health == probation && s.set.MayProbe && !ep.probing && !ep.vouched && s.anyWaits(d) {
-			ep.probing = true
-			s.act(Probe{Endpoint: ep.id})
-			s.countCall(ep)
-		}
 	}
 	return plan{}
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -65,10 +65,8 @@
 	lastAnswer time.Duration
 	delivered  meter
 	base       float64       // calls a second delivered before the outage
-	charged    time.Duration // the last call or probe that counted
-	probing    bool
+	charged    time.Duration // the last call
 	renewed    time.Duration // when its connections were last renewed for silence
-	vouched    bool          // a probe went well in this probation
 
 	lastFailure Outcome
 
@@ -80,6 +78,7 @@
 	endpoints []*endpoint
 	msgs      []*message // held, in order of arrival
 	served    meter
+	wanted    meter // arrivals
 }
 
 // call is what travels at once: the messages sent to one endpoint in one step.
@@ -197,6 +196,7 @@
 	}
 	s.held[m.id] = m
 	m.dest.msgs = append(m.dest.msgs, m)
+	m.dest.wanted.add(s.now, deliveredMemory, 1)
 	s.total.add(s.now, shareMemory, 1)
 	if e.Tenant < len(s.arrivals) {
 		s.arrivals[e.Tenant].add(s.now, shareMemory, 1)
