One pause a destination, rates over longer spans in a crowd, connections kept once proven

Rates are now measured over a span that grows with the senders, and the least pace is theirs together. Failed endpoints now share one pause, apart or not, that grows eightfold.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -18,7 +18,7 @@
 	cutCooldown   = time.Second      // the design's start value; 2 s lets refusals run on
 	climbInterval = time.Second      // the design starts at 2 s; a limit is found again in half the time
 	climbShare    = 0.1              // step as a share of the rate before the last cut; fixed by the design
-	minPace       = 0.2              // calls a second; keeps a cut lane learning
+	minPace       = 0.6              // calls a second of all senders together; keeps a cut lane learning
 	paceLapse     = 15 * time.Second // quiet time after which a pace no longer binds; 8 s brings bursts
 	sendMemory    = 3 * time.Second  // span of send and refusal rates; 1 s takes a clump for a rate
 
@@ -49,8 +49,8 @@
 	handshake   = 100 * time.Millisecond  // latency that a connection likely open saves; 250 ms is even
 	shareMemory = 10 * time.Second        // span over which tenants' shares are measured
 
-	crowdMemory = 5 * time.Minute // how long a kind counts as short of connections; they seldom get more
-	crowd       = 12              // more senders than this can fill a table or push an endpoint by one call each
+	provenOpen = 30 // answers since a connect failed at a kind that let connections stay open
+	crowd      = 12 // more senders than this can fill a table or push an endpoint by one call each
 
 	pollEvery = 250 * time.Millisecond // wake-ups while anything waits
 	never     = time.Duration(math.MaxInt64)
@@ -60,24 +60,30 @@
 // rate of a short burst may be far off it, and half of this sender's part of it is the minimum.
 // Guards against a chain of cuts while a limit was low; too much where the list is long out of date.
 func (p *pace) onFull(now, sentAt time.Duration, listed float64, senders int) {
-	p.refused.add(now, sendMemory, 1)
+	span := rateSpan(senders)
+	p.refused.add(now, span, 1)
 	p.lastRefusal = now
 	if p.rate > 0 && (now-p.lastCut < cutCooldown || sentAt <= p.lastCut) {
 		return
 	}
 	before := p.rate
 	if before == 0 {
-		before = max(p.sent.perSecond(now, sendMemory), p.refused.perSecond(now, sendMemory))
+		before = max(p.sent.perSecond(now, span), p.refused.perSecond(now, span))
 		if listed > 0 {
 			before = min(max(before, listed/float64(max(senders, 1))), listed)
 		}
 	}
 	p.step = climbShare * before
-	p.rate = max(before*cutFactor, minPace, listed/float64(2*max(senders, 1)))
+	p.rate = max(before*cutFactor, minPace/float64(max(senders, 1)), listed/float64(2*max(senders, 1)))
 	p.lastCut, p.lastChange = now, now
 	p.next = max(p.next, now+seconds(1/p.rate))
 }
 
+// rateSpan is the span of send and refusal rates: longer in a crowd, whose senders each call seldom.
+func rateSpan(senders int) time.Duration {
+	return max(sendMemory, sendMemory*time.Duration(senders)/40)
+}
+
 // onWait halts the lane for a told wait; the climb clock restarts at its end.
 func (p *pace) onWait(until time.Duration) {
 	p.haltUntil = max(p.haltUntil, until)
@@ -101,8 +107,8 @@
 }
 
 // onSend takes one call from the pace; an idle lane saves up one call and no more.
-func (p *pace) onSend(now time.Duration) {
-	p.sent.add(now, sendMemory, 1)
+func (p *pace) onSend(now time.Duration, senders int) {
+	p.sent.add(now, rateSpan(senders), 1)
 	if p.rate > 0 {
 		gap := seconds(1 / p.rate)
 		p.next = max(p.next, now-gap) + gap
@@ -264,7 +270,7 @@
 	for _, a := range s.open(ep, msgs).attempts {
 		s.act(Send{ID: a.id, Endpoint: ep.id, Timeout: s.timeout(a.msg, ep)})
 	}
-	ep.lane.pace.onSend(s.now)
+	ep.lane.pace.onSend(s.now, s.set.Senders)
 	ep.charged = s.now
 }
 
@@ -370,11 +376,9 @@
 // succeeded takes an answer. In probation only one to a call sent since it began starts the ramp: older ones
 // may have been served before the outage.
 func (s *Sender) succeeded(ep *endpoint, sent, elapsed time.Duration) {
-	if ep.fails > 0 && ep.lastFailure == ConnectError && sent > ep.failing && s.now-ep.failing < briefTrouble {
-		s.crowded[ep.kind] = s.now + crowdMemory
-	}
+	s.opened[ep.kind]++
 	ep.sample(elapsed)
-	ep.lastAnswer, ep.fails, ep.lane.fails = s.now, 0, 0
+	ep.lastAnswer, ep.fails = s.now, 0
 	ep.delivered.add(s.now, deliveredMemory, 1)
 	ep.lane.refusals = 0
 	ep.lane.pace.onSuccess(s.now)
@@ -398,19 +402,20 @@
 	if why == TimedOut && ep.lastAnswer > sent {
 		return // one call lost where others are answered
 	}
-	ep.lastFailure = why
+	if why == ConnectError {
+		s.opened[ep.kind] = 0
+	}
 	if ep.fails++; ep.fails == 1 && ep.health == healthy {
 		ep.failing = sent
 	}
-	ep.lane.fails++
-	ep.lane.retryAt = s.now + s.pause(ep)
+	ep.dest.retryAt = s.now + s.pause(ep)
 	if ep.health != probation && ep.fails >= failStreak {
 		s.suspend(ep, why)
 	}
 }
 
-// pause is how long a lane's failed endpoints are left alone: longer with each failure, up to the time in
-// which this sender's own traffic there would use its part of a cold destination's budget.
+// pause is how long a destination's failed endpoints are left alone: longer with each failure, up to the time
+// in which this sender's own traffic there would use its part of a cold destination's budget.
 func (s *Sender) pause(ep *endpoint) time.Duration {
 	routes := 1
 	if s.kind(ep).RoutesApart {
@@ -418,7 +423,7 @@
 	}
 	own := ep.dest.wanted.perSecond(s.now, deliveredMemory) / float64(routes)
 	share := 1 / max(s.set.OverloadFactor*s.set.ColdShare*own, 1e-3)
-	growth := math.Exp2(float64(2 * min(ep.lane.fails-1, failStreak)))
+	growth := math.Exp2(float64(3 * min(ep.fails-1, failStreak)))
 	first := retryPause.Seconds() * float64(max(s.set.Senders-crowd, 0))
 	return seconds(min(first*growth, share) * (0.5 + s.rng.Float64()))
 }
@@ -494,13 +499,12 @@
 // dying tells whether fresh connections have lately cured silence, so that old ones are not to be trusted.
 func (s *Sender) dying() bool { return s.cured.perSecond(s.now, curedMemory) > 1/curedMemory.Seconds() }
 
-// yieldConnections closes connections as they fall idle, where there is a crowd of senders or a kind has been
-// seen short of them: none in one moment, an answer in the next. Guards against senders that fill tables with
-// connections they hardly use; as who holds one sees no failure, the sign counts for the kind.
-// Where connects fail by chance it costs a handshake a call.
+// yieldConnections closes connections as they fall idle in a crowd of senders, until many answers in a row
+// have come at a kind of destination without a failed connect. Guards against senders that fill tables with
+// connections they hardly use; as who holds one sees no failure, it goes by the kind. Costs handshakes.
 func (s *Sender) yieldConnections() {
 	for _, ep := range s.idled {
-		if s.set.Senders > crowd || s.now < s.crowded[ep.kind] {
+		if s.set.Senders > crowd && s.opened[ep.kind] < provenOpen {
 			s.act(CloseIdle{Endpoint: ep.id})
 		}
 	}
@@ -557,7 +561,7 @@
 		at = max(at, ep.charged+s.gap(ep))
 	}
 	if ep.fails > 0 {
-		at = max(at, ep.lane.retryAt)
+		at = max(at, ep.dest.retryAt)
 	}
 	return at
 }
@@ -632,7 +636,7 @@
 	if ep.known {
 		t = ep.latency
 	}
-	t *= 1 + float64(len(ep.calls))/2
+	t *= 1 + float64(len(ep.calls))/2 + float64(ep.fails)
 	if s.now-ep.lastUse > s.set.KeepAlive || len(ep.calls) >= ep.peak {
 		t += handshake.Seconds()
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -30,8 +30,6 @@
 	inflight  int
 	refusals  int           // in a row, each of a call sent after the one before was refused
 	refusedAt time.Duration // the first of them
-	fails     int           // since an answer, at any of its endpoints
-	retryAt   time.Duration // no call before at those that failed
 	reported  float64       // limit that the destination told, shared by all senders
 }
 
@@ -68,8 +66,6 @@
 	charged    time.Duration // the last call
 	renewed    time.Duration // when its connections were last renewed for silence
 
-	lastFailure Outcome
-
 	peak    int // most calls out at once while connections stayed open
 	lastUse time.Duration
 }
@@ -78,7 +74,8 @@
 	endpoints []*endpoint
 	msgs      []*message // held, in order of arrival
 	served    meter
-	wanted    meter // arrivals
+	wanted    meter         // arrivals
+	retryAt   time.Duration // no call before at endpoints that failed
 }
 
 // call is what travels at once: the messages sent to one endpoint in one step.
@@ -141,10 +138,10 @@
 	slots     int // in use
 	arrivals  []meter
 	total     meter
-	cured     meter                 // silences that a fresh connection ended
-	quotas    float64               // of all tenants
-	crowded   map[int]time.Duration // by kind: until when its endpoints count as short of connections
-	idled     []*endpoint           // had a call end in this step
+	cured     meter       // silences that a fresh connection ended
+	quotas    float64     // of all tenants
+	opened    map[int]int // by kind: answers since a connect failed
+	idled     []*endpoint // had a call end in this step
 	wakeAt    time.Duration
 	watchAt   time.Duration
 	actions   []Action
@@ -154,7 +151,7 @@
 func New(set Settings) *Sender {
 	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never,
 		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
-		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, crowded: map[int]time.Duration{}, arrivals: make([]meter, len(set.Tenants))}
+		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, opened: map[int]int{}, arrivals: make([]meter, len(set.Tenants))}
 	for _, t := range set.Tenants {
 		s.quotas += t.Quota
 	}
