A refused message pauses before it goes anywhere, in a crowd of senders

Told from a slow destination: refusals come at once, nothing else is answered, and the state ends when offered calls fall below the limit.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -20,10 +20,12 @@
 	climbShare    = 0.1              // step as a share of the rate before the last cut; fixed by the design
 	minPace       = 0.6              // calls a second of all senders together; keeps a cut lane learning
 	paceLapse     = 15 * time.Second // quiet time after which a pace no longer binds; 8 s brings bursts
+	crowdMemory   = 12 * time.Second // the same in a crowd: one call is no third of a call a second
 	sendMemory    = 3 * time.Second  // span of send and refusal rates; 1 s takes a clump for a rate
 
 	// Health.
 	deliveredMemory = 10 * time.Second     // span over which a delivered rate is measured; an outage's length
+	refusedPause    = 3 * time.Second      // a try, for a refused message in a crowd; 1 s feeds the refusals
 	retryPause      = 5 * time.Millisecond // for each sender beyond a crowd: they must not retry at once
 	failStreak      = 4                    // failures in a row: an outage; 2 mistakes half the calls for one
 	refusalStreak   = 3                    // refusals in a row without a success: shut rather than full
@@ -81,7 +83,10 @@
 
 // rateSpan is the span of send and refusal rates: longer in a crowd, whose senders each call seldom.
 func rateSpan(senders int) time.Duration {
-	return max(sendMemory, sendMemory*time.Duration(senders)/40)
+	if senders > crowd {
+		return crowdMemory
+	}
+	return sendMemory
 }
 
 // onWait halts the lane for a told wait; the climb clock restarts at its end.
@@ -234,7 +239,7 @@
 
 // maySend is the guard that every send passes; it holds the rules, whatever the plan says.
 func (s *Sender) maySend(m *message, ep *endpoint) bool {
-	if m.over || m.streamed || len(m.out) > 0 || s.now >= s.due(m) || s.spent(m) {
+	if s.now < m.notBefore || m.over || m.streamed || len(m.out) > 0 || s.now >= s.due(m) || s.spent(m) {
 		return false
 	}
 	if !ep.listed || ep.dest != m.dest {
@@ -319,7 +324,9 @@
 	s.settle(a.msg, a, e)
 }
 
-// settle decides about a message after one of its attempts.
+// settle decides about a message after one of its attempts. In a crowd a refused one pauses before it goes
+// anywhere. Guards against refusals that feed on each other: where they use up the limit too, a clump that
+// spills from route to route keeps all of them shut. Where a limit has room again at once, it makes them late.
 func (s *Sender) settle(m *message, a *attempt, e Ended) {
 	if m.over {
 		return
@@ -332,7 +339,11 @@
 		return
 	}
 	switch e.Outcome {
-	case Full, ConnectError, NotSent:
+	case Full:
+		if s.set.Senders > crowd {
+			m.notBefore = s.now + seconds(refusedPause.Seconds()*float64(m.tries)*(0.5+s.rng.Float64()))
+		}
+	case ConnectError, NotSent:
 	default:
 		if a.call.sent < m.mayRun {
 			m.mayRun, m.mayRunAt = a.call.sent, a.call.ep
@@ -595,7 +606,7 @@
 		if best.ep == nil {
 			return
 		}
-		if s.slots >= s.set.Slots {
+		if len(s.calls) >= s.set.Slots {
 			s.freeSlot()
 			return
 		}
@@ -731,16 +742,12 @@
 		return
 	}
 	var oldest *call
-	for _, d := range s.order {
-		for _, ep := range d.endpoints {
-			for _, c := range ep.calls {
-				if c.cancelled {
-					return // its slot is on the way
-				}
-				if s.now-c.sent > patience*s.lateAfter(ep) && (oldest == nil || c.sent < oldest.sent) {
-					oldest = c
-				}
-			}
+	for _, c := range s.calls {
+		if c.cancelled {
+			return // its slot is on the way
+		}
+		if s.now-c.sent > patience*s.lateAfter(c.ep) && (oldest == nil || c.sent < oldest.sent) {
+			oldest = c
 		}
 	}
 	if oldest != nil {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -107,7 +107,7 @@
 	if got := b.end(id, 0, 11, Reset, func(e *Ended) { e.Over = true }); finals(got) != 0 {
 		t.Error("answered a stream that the client has")
 	}
-	if len(b.s.held) != 0 || b.s.slots != 0 {
+	if len(b.s.held) != 0 || len(b.s.calls) != 0 {
 		t.Error("the finished stream is still booked")
 	}
 }
@@ -404,7 +404,7 @@
 	}{
 		{"from the send rate", 2, 30, 1, 0, 0.7 * 10},
 		{"from the refused rate", 10, 0, 8, 0, 0.7 / 3},
-		{"a crowd measures over longer", 200, 1, 1, 0, 0.7 / 15},
+		{"a crowd measures over longer", 200, 1, 1, 0, 0.7 / crowdMemory.Seconds()},
 		{"listed rate seeds a burst down", 2, 40, 1, 6, 0.7 * 6},
 		{"listed rate seeds a trickle up", 2, 1, 1, 8, 0.7 * 4},
 	} {
@@ -518,8 +518,8 @@
 	if len(sends(out)) != 4 {
 		t.Fatalf("%d messages in the first call, want the batch of 4", len(sends(out)))
 	}
-	if b.s.slots != 1 {
-		t.Errorf("%d slots in use for one call", b.s.slots)
+	if len(b.s.calls) != 1 {
+		t.Errorf("%d slots in use for one call", len(b.s.calls))
 	}
 	if got := sends(b.wait(490 * ms)); len(got) != 0 {
 		t.Error("a second call before half a second at 2 a second")
@@ -899,3 +899,23 @@
 		t.Errorf("%d calls in 2 s with two senders and %d with 300, want at least 8 and at most 3", few, many)
 	}
 }
+
+// Where refused calls use up a limit too, a crowd that carries each refused message on to the next route keeps all
+// of them shut.
+func TestRefusedMessagesPauseInACrowd(t *testing.T) {
+	for _, c := range []struct {
+		senders int
+		want    bool // sent on within half the pause
+	}{{3, true}, {300, false}} {
+		b := newBench(t, func(s *Settings) { s.Senders = c.senders }, Entry{Endpoint: 11, Destination: 1, Kind: 1},
+			Entry{Endpoint: 12, Destination: 1, Kind: 1}, Entry{Endpoint: 13, Destination: 1, Kind: 1})
+		id, _ := b.take(safe)
+		out := append(b.end(id, 0, 11, Full), b.wait(refusedPause/2-5*ms)...)
+		if got := len(sends(out)) > 0; got != c.want {
+			t.Errorf("%d senders: sent on within half the pause %v, want %v", c.senders, got, c.want)
+		}
+		if !c.want && len(sends(b.wait(refusedPause))) == 0 {
+			t.Errorf("%d senders: not sent again after the pause", c.senders)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -102,18 +102,19 @@
 }
 
 type message struct {
-	id       MessageID
-	dest     *destination
-	class    *Class
-	tenant   int
-	order    *turn
-	deadline time.Duration
-	tries    int
-	out      []*attempt
-	mayRun   time.Duration // send time of the earliest attempt that may have run; never if none
-	mayRunAt *endpoint
-	streamed bool
-	over     bool
+	id        MessageID
+	dest      *destination
+	class     *Class
+	tenant    int
+	order     *turn
+	deadline  time.Duration
+	tries     int
+	out       []*attempt
+	mayRun    time.Duration // send time of the earliest attempt that may have run; never if none
+	mayRunAt  *endpoint
+	streamed  bool
+	notBefore time.Duration // no attempt before, after a refusal
+	over      bool
 }
 
 // turn keeps the order of one key.
@@ -135,7 +136,7 @@
 	held      map[MessageID]*message
 	attempts  map[attemptKey]*attempt
 	turns     map[string]*turn
-	slots     int // in use
+	calls     []*call // out, oldest first; each holds a slot
 	arrivals  []meter
 	total     meter
 	cured     meter       // silences that a fresh connection ended
@@ -285,7 +286,7 @@
 	}
 	ep.calls = append(ep.calls, c)
 	ep.lane.inflight++
-	s.slots++
+	s.calls = append(s.calls, c)
 	ep.peak, ep.lastUse = max(ep.peak, len(ep.calls)), s.now
 	return c
 }
@@ -309,7 +310,7 @@
 	if c.open--; c.open == 0 {
 		c.ep.calls = without(c.ep.calls, c)
 		c.ep.lane.inflight--
-		s.slots--
+		s.calls = without(s.calls, c)
 	}
 	return a
 }
