--- a/rules/rules.go
+++ b/rules/rules.go
@@ -326,7 +326,7 @@
 
 // settle decides about a message after one of its attempts. In a crowd a refused one pauses before it goes
 // anywhere. Guards against refusals that feed on each other: where they use up the limit too, a clump that
-// spills from route to route keeps all of them shut. Where a limit has room again at once, it makes them late.
+// spills from route to route keeps all of them shut. Where a limit soon has room, it makes messages late.
 func (s *Sender) settle(m *message, a *attempt, e Ended) {
 	if m.over {
 		return
@@ -647,7 +647,10 @@
 	if ep.known {
 		t = ep.latency
 	}
-	t *= 1 + float64(len(ep.calls))/2 + float64(ep.fails)
+	t *= 1 + float64(len(ep.calls))/2
+	if s.set.Senders > crowd { // one pause for all that failed: let them take turns
+		t *= 1 + float64(ep.fails)
+	}
 	if s.now-ep.lastUse > s.set.KeepAlive || len(ep.calls) >= ep.peak {
 		t += handshake.Seconds()
 	}
