Seed sparse senders' paces from listed rates and bind sister routes in a crowd

Offered calls stay above the limits, refused ones use them up, and nothing is served. Told from slow destinations and outages: answers that come are quick, nothing fails to connect. A rate over fewer than 2.5 calls now gives way to the sender's listed part, the first gap is spread over the crowd, and a refusal binds the sister routes at one and a half parts.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -18,6 +18,8 @@
 	cutCooldown   = time.Second      // the design's start value; 2 s lets refusals run on
 	climbInterval = time.Second      // the design starts at 2 s; a limit is found again in half the time
 	climbShare    = 0.1              // step as a share of the rate before the last cut; fixed by the design
+	fewCalls      = 2.5              // a rate measured over fewer says little: a listed one is better
+	sisterPart    = 1.5              // of its listed part, a route whose sister refuses gets; 1 idles, 2 refuses
 	minPace       = 0.6              // calls a second of all senders together; keeps a cut lane learning
 	paceLapse     = 15 * time.Second // quiet time after which a pace no longer binds; 8 s brings bursts
 	crowdMemory   = 12 * time.Second // the same in a crowd: one call is no third of a call a second
@@ -61,24 +63,27 @@
 // onFull takes a refusal of a call sent at sentAt. A listed rate seeds the first cut, as the measured
 // rate of a short burst may be far off it, and half of this sender's part of it is the minimum.
 // Guards against a chain of cuts while a limit was low; too much where the list is long out of date.
-func (p *pace) onFull(now, sentAt time.Duration, listed float64, senders int) {
+func (p *pace) onFull(now, sentAt time.Duration, listed float64, senders int, first float64) {
 	span := rateSpan(senders)
 	p.refused.add(now, span, 1)
 	p.lastRefusal = now
 	if p.rate > 0 && (now-p.lastCut < cutCooldown || sentAt <= p.lastCut) {
 		return
 	}
-	before := p.rate
+	before, gap := p.rate, 1.0
 	if before == 0 {
 		before = max(p.sent.perSecond(now, span), p.refused.perSecond(now, span))
-		if listed > 0 {
-			before = min(max(before, listed/float64(max(senders, 1))), listed)
+		if part := listed / float64(max(senders, 1)); listed > 0 && before*span.Seconds() < fewCalls {
+			before = part
+		} else if listed > 0 {
+			before = min(max(before, part), listed)
 		}
+		gap = first
 	}
 	p.step = climbShare * before
 	p.rate = max(before*cutFactor, minPace/float64(max(senders, 1)), listed/float64(2*max(senders, 1)))
 	p.lastCut, p.lastChange = now, now
-	p.next = max(p.next, now+seconds(1/p.rate))
+	p.next = max(p.next, now+seconds(gap/p.rate))
 }
 
 // rateSpan is the span of send and refusal rates: longer in a crowd, whose senders each call seldom.
@@ -242,10 +247,7 @@
 	if s.now < m.notBefore || m.over || m.streamed || len(m.out) > 0 || s.now >= s.due(m) || s.spent(m) {
 		return false
 	}
-	if !ep.listed || ep.dest != m.dest {
-		return false
-	}
-	if s.now < ep.lane.pace.haltUntil {
+	if !ep.listed || ep.dest != m.dest || s.now < ep.lane.pace.haltUntil {
 		return false
 	}
 	if m.class.Effect == Keyed && !s.keyHolds(m, ep) {
@@ -456,10 +458,22 @@
 func (ep *endpoint) unanswered() bool { return ep.symptom == TimedOut || ep.symptom == ConnectError }
 
 // refused takes a refusal as full: the pace's matter, unless it lasts, which a limit's refusals do not. Then
-// the destination is shut and comes back cold.
+// the destination is shut and comes back cold. In a crowd the first gap is any part of a whole one, so that
+// not all fall silent and resume together, and sister routes are bound too, by their listed rates.
+// Guards against each of hundreds of senders finding each full route for itself; slow where just one is full.
 func (s *Sender) refused(ep *endpoint, sent, wait time.Duration) {
-	l := ep.lane
-	l.pace.onFull(s.now, sent, s.listedRate(ep), s.set.Senders)
+	l, first := ep.lane, 1.0
+	if s.set.Senders > crowd {
+		first = s.rng.Float64()
+		for _, sister := range ep.dest.endpoints {
+			part := sisterPart * s.listedRate(sister) / float64(s.set.Senders)
+			if p := &sister.lane.pace; sister.lane != l && p.rate == 0 && part > 0 {
+				p.rate, p.step, p.lastRefusal = part, climbShare*part, s.now
+				p.next = s.now + seconds(s.rng.Float64()/part)
+			}
+		}
+	}
+	l.pace.onFull(s.now, sent, s.listedRate(ep), s.set.Senders, first)
 	if l.refusals == 0 {
 		l.refusedAt = sent
 	}
@@ -535,15 +549,6 @@
 	s.act(CloseIdle{Endpoint: ep.id})
 }
 
-func (s *Sender) cancel(c *call) {
-	c.cancelled = true
-	for _, a := range c.attempts {
-		if s.attempts[attemptKey{a.id, a.num}] == a && !a.msg.streamed {
-			s.act(Cancel{ID: a.id, Attempt: a.num})
-		}
-	}
-}
-
 // gap is the time between calls to an endpoint on probation or on its ramp. A sender keeps to its own part of
 // a cold destination's budget: what it delivered before, or its part of a listed rate, times the share of
 // capacity that must be back by now. All senders' parts together are then within it.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -417,7 +417,7 @@
 				t.Error("bound before any refusal")
 			}
 			for range c.refused {
-				p.onFull(0, 0, c.listed, c.senders)
+				p.onFull(0, 0, c.listed, c.senders, 1)
 			}
 			if math.Abs(p.rate-c.want) > 0.01 {
 				t.Errorf("rate %.2f, want %.2f", p.rate, c.want)
@@ -439,19 +439,19 @@
 		{"after both", 11 * sec, 10001 * ms, 7},
 	} {
 		p := start
-		p.onFull(c.now, c.sent, 0, 2)
+		p.onFull(c.now, c.sent, 0, 2, 1)
 		if math.Abs(p.rate-c.want) > 1e-9 {
 			t.Errorf("%s: rate %.2f, want %.2f", c.name, p.rate, c.want)
 		}
 	}
 	p := start
 	for i := range 100 {
-		p.onFull(time.Duration(20+2*i)*sec, time.Duration(19+2*i)*sec, 0, 2)
+		p.onFull(time.Duration(20+2*i)*sec, time.Duration(19+2*i)*sec, 0, 2, 1)
 	}
 	if p.rate != minPace/2 {
 		t.Errorf("rate %.3f after many cuts, want the minimum", p.rate)
 	}
-	p.onFull(500*sec, 499*sec, 12, 2)
+	p.onFull(500*sec, 499*sec, 12, 2, 1)
 	if p.rate != 3 {
 		t.Errorf("rate %.3f at a limit listed as 12 for two, want half of this sender's part", p.rate)
 	}
@@ -459,7 +459,7 @@
 
 func TestPaceClimbs(t *testing.T) {
 	cut := pace{rate: 10}
-	cut.onFull(10*sec, 9*sec, 0, 2)
+	cut.onFull(10*sec, 9*sec, 0, 2, 1)
 	for _, c := range []struct {
 		name   string
 		waited bool
@@ -919,3 +919,25 @@
 		}
 	}
 }
+
+// A refusal at one route of a destination tells of the demand for all of them; a crowd can't find out one by one.
+func TestRefusalBindsSisterRoutesInACrowd(t *testing.T) {
+	for _, c := range []struct {
+		senders int
+		want    float64
+	}{{3, 0}, {300, sisterPart * 30 / 300}} {
+		b := newBench(t, func(s *Settings) { s.Senders, s.RatesListed = c.senders, true },
+			Entry{Endpoint: 11, Destination: 1, Kind: 1, ListedRate: 60},
+			Entry{Endpoint: 12, Destination: 1, Kind: 1, ListedRate: 30})
+		id, out := b.take(safe)
+		b.end(id, 0, sends(out)[0].Endpoint, Full)
+		if got := b.s.endpoints[12].lane.pace.rate; math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%d senders: the sister route is bound at %.3f, want %.3f", c.senders, got, c.want)
+		}
+		first := b.s.endpoints[11].lane.pace
+		if gap := seconds(1 / first.rate); (first.next < b.now+gap) != (c.senders > crowd) {
+			t.Errorf("%d senders: first gap %v of %v, want a whole one at most, a part of it in a crowd", c.senders,
+				first.next-b.now, gap)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -315,6 +315,16 @@
 	return a
 }
 
+// cancel calls off what a call has out.
+func (s *Sender) cancel(c *call) {
+	c.cancelled = true
+	for _, a := range c.attempts {
+		if s.attempts[attemptKey{a.id, a.num}] == a && !a.msg.streamed {
+			s.act(Cancel{ID: a.id, Attempt: a.num})
+		}
+	}
+}
+
 // backlog is how many seconds a destination's held messages take at its recent rate.
 func (s *Sender) backlog(d *destination) float64 {
 	return float64(len(d.msgs)) / max(d.served.perSecond(s.now, deliveredMemory), 1e-3)
