In a crowd short of slots, give up repeatable calls after two late-answer times

An endpoint that a sparse sender had not yet heard from counted as late only after 2 s, times five. Told from slow destinations: the rest of the calls to the same endpoints took 0.4 s. Endpoints not known yet now go by the sender's usual latency, and under slot pressure what may be repeated is given up after two late-answer times. Should also help against dead connections and hangs; hurts where answers are merely slow.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,14 +26,13 @@
 	sendMemory    = 3 * time.Second  // span of send and refusal rates; 1 s takes a clump for a rate
 
 	// Health.
-	deliveredMemory = 10 * time.Second     // span over which a delivered rate is measured; an outage's length
+	deliveredMemory = 10 * time.Second     // span of delivered rates, shares and cures; an outage's length
 	refusedPause    = 3 * time.Second      // a try, for a refused message in a crowd; 1 s feeds the refusals
 	retryPause      = 5 * time.Millisecond // for each sender beyond a crowd: they must not retry at once
 	failStreak      = 4                    // failures in a row: an outage; 2 mistakes half the calls for one
 	refusalStreak   = 3                    // refusals in a row without a success: shut rather than full
 	refusalSpan     = 5 * time.Second      // and over at least this long; 1.5 s takes limits for outages
 	silenceFactor   = 3                    // late-answer times of silence: an outage; 2 suspects slow ones
-	curedMemory     = 10 * time.Second     // a silence cured by a fresh connection in this: a pattern
 	briefTrouble    = 3 * time.Second      // trouble shorter than this leaves nothing cold
 	longWait        = 5 * time.Second      // a told wait beyond a limit's own: shut; 2 s takes limits for it
 
@@ -43,6 +42,7 @@
 	minLate     = 500 * time.Millisecond  // least late-answer time: service times have long tails
 	maxLate     = 8 * time.Second         // most: a slow endpoint must still be found silent in time
 	patience    = 5                       // time-out of a repeatable call, in late-answer times; 3 is wasteful
+	haste       = 2                       // the same in a crowd short of slots; 5 lets lost answers fill them
 	minPatience = 1500 * time.Millisecond // least such time-out: a connect and a service time
 	laneShare   = 0.4                     // of the slots that one lane may fill; 0.6 is even, all of them worse
 	roomMargin  = 16                      // part of the holding room kept free for newcomers: 1/16
@@ -51,7 +51,6 @@
 	baseUrgency = 0.05                    // weight of a message's whole worth; 0.3 loses on even falls
 	worthTime   = 20.0                    // seconds of latency that one worth of fees outweighs (10 to 30: even)
 	handshake   = 100 * time.Millisecond  // latency that a connection likely open saves; 250 ms is even
-	shareMemory = 10 * time.Second        // span over which tenants' shares are measured
 
 	provenOpen = 30 // answers since a connect failed at a kind that let connections stay open
 	crowd      = 12 // more senders than this can fill a table or push an endpoint by one call each
@@ -188,7 +187,7 @@
 	case Safe:
 		return true
 	case Keyed:
-		return !ran || m.class.Scope == ScopeDestination
+		ran = ran && m.class.Scope != ScopeDestination
 	}
 	return !ran
 }
@@ -281,9 +280,8 @@
 	ep.charged = s.now
 }
 
-// timeout is how long to wait on a call. Only what may be sent again is timed out early: for the rest it
-// would buy nothing but the slot, which cancelling under pressure does (freeSlot). A keyed call's own answer
-// may come after a hang, when its window is long over; it is given up only where connections die.
+// timeout is how long to wait on a call. Only what may be sent again is timed out; freeSlot frees slots.
+// A keyed call's answer may come after a hang and its window: it is given up only where connections die.
 func (s *Sender) timeout(m *message, ep *endpoint) time.Duration {
 	if m.class.Effect == AtMostOnce || m.class.Effect == Keyed && !s.dying() {
 		return 0
@@ -293,20 +291,24 @@
 
 // lateAfter is the time after which an answer of the endpoint is unusually late.
 func (s *Sender) lateAfter(ep *endpoint) time.Duration {
-	if !ep.known {
+	t := &ep.timing
+	if !t.known && s.set.Senders > crowd { // it sees little: go by what it sees elsewhere
+		t = &s.usual
+	}
+	if !t.known {
 		return firstLate
 	}
-	return min(max(seconds(ep.latency+4*ep.spread), minLate), maxLate)
+	return min(max(seconds(t.latency+4*t.spread), minLate), maxLate)
 }
 
-func (ep *endpoint) sample(elapsed time.Duration) {
+func (t *timing) sample(elapsed time.Duration) {
 	x := elapsed.Seconds()
-	if !ep.known {
-		ep.latency, ep.spread, ep.known = x, x/2, true
+	if !t.known {
+		t.latency, t.spread, t.known = x, x/2, true
 		return
 	}
-	ep.spread += latGain * (math.Abs(x-ep.latency) - ep.spread)
-	ep.latency += latGain * (x - ep.latency)
+	t.spread += latGain * (math.Abs(x-t.latency) - t.spread)
+	t.latency += latGain * (x - t.latency)
 }
 
 // attemptEnded takes an outcome: for its endpoint once a call, for the message always. A wait binds whoever
@@ -371,17 +373,15 @@
 	if e.Report.Limit > 0 {
 		ep.lane.reported = e.Report.Limit
 	}
+	if e.Outcome == TimedOut || e.Outcome == Cancelled {
+		s.act(CloseIdle{Endpoint: ep.id})
+	}
 	switch e.Outcome {
 	case OK:
 		s.succeeded(ep, c.sent, e.Elapsed)
 	case Full:
 		s.refused(ep, c.sent, e.Wait)
-	case TimedOut:
-		s.act(CloseIdle{Endpoint: ep.id})
-		s.failed(ep, c.sent, e.Outcome)
-	case Cancelled:
-		s.act(CloseIdle{Endpoint: ep.id})
-	case Errored, Reset, ConnectError:
+	case Errored, TimedOut, Reset, ConnectError:
 		s.failed(ep, c.sent, e.Outcome)
 	}
 }
@@ -391,6 +391,7 @@
 func (s *Sender) succeeded(ep *endpoint, sent, elapsed time.Duration) {
 	s.opened[ep.kind]++
 	ep.sample(elapsed)
+	s.usual.sample(elapsed)
 	ep.lastAnswer, ep.fails = s.now, 0
 	ep.delivered.add(s.now, deliveredMemory, 1)
 	ep.lane.refusals = 0
@@ -398,11 +399,9 @@
 	switch {
 	case ep.health == probation && sent >= ep.since && sent-ep.failing < briefTrouble && ep.unanswered():
 		ep.health, ep.since = healthy, s.now
-		s.cured.add(s.now, curedMemory, 1)
+		s.cured.add(s.now, deliveredMemory, 1)
 	case ep.health == probation && sent >= ep.since:
 		ep.health, ep.since, ep.charged = ramping, s.now, s.now
-	case ep.health == probation && ep.symptom == TimedOut:
-		ep.charged -= s.gap(ep) / 2
 	case ep.health == ramping && s.now-ep.since >= s.set.WarmUp:
 		ep.health, ep.since = healthy, s.now
 	}
@@ -489,12 +488,7 @@
 }
 
 // listedRate is what the registry or the destination itself told of the lane's limit, 0 if nothing.
-func (s *Sender) listedRate(ep *endpoint) float64 {
-	if ep.lane.reported > 0 {
-		return ep.lane.reported
-	}
-	return ep.rate
-}
+func (s *Sender) listedRate(ep *endpoint) float64 { return cmp.Or(ep.lane.reported, ep.rate) }
 
 // findSilence puts endpoints on probation that answer nothing of what they have. A hang never refuses.
 // Where fresh connections have lately cured silence, they are tried first, and sooner.
@@ -522,7 +516,9 @@
 }
 
 // dying tells whether fresh connections have lately cured silence, so that old ones are not to be trusted.
-func (s *Sender) dying() bool { return s.cured.perSecond(s.now, curedMemory) > 1/curedMemory.Seconds() }
+func (s *Sender) dying() bool {
+	return s.cured.perSecond(s.now, deliveredMemory) > 1/deliveredMemory.Seconds()
+}
 
 // yieldConnections closes connections as they fall idle in a crowd of senders, until many answers in a row
 // have come at a kind of destination without a failed connect. Guards against senders that fill tables with
@@ -734,7 +730,7 @@
 	if t >= len(s.arrivals) {
 		return 1
 	}
-	mine, all := s.arrivals[t].perSecond(s.now, shareMemory), s.total.perSecond(s.now, shareMemory)
+	mine, all := s.arrivals[t].perSecond(s.now, deliveredMemory), s.total.perSecond(s.now, deliveredMemory)
 	if mine <= 0 || s.quotas <= 0 {
 		return 1
 	}
@@ -743,8 +739,8 @@
 }
 
 // freeSlot gives up the call that has been out longest, if it is long overdue. Guards against calls that are
-// never answered, at a silent endpoint or at one that answers the rest, filling every slot; where answers
-// are merely slow, it may give up one that would still have come.
+// never answered filling every slot, soonest where a repeat is safe and a crowd's sender has few; where
+// answers are merely slow, it may give up one that would still have come.
 func (s *Sender) freeSlot() {
 	if !s.set.MayCancel {
 		return
@@ -754,7 +750,12 @@
 		if c.cancelled {
 			return // its slot is on the way
 		}
-		if s.now-c.sent > patience*s.lateAfter(c.ep) && (oldest == nil || c.sent < oldest.sent) {
+		class, allowed := c.attempts[0].msg.class, patience*s.lateAfter(c.ep)
+		mayRepeat := class.Effect == Safe || class.Effect == Keyed && s.now-c.sent < class.Window/2
+		if mayRepeat && s.set.Senders > crowd {
+			allowed = haste * s.lateAfter(c.ep)
+		}
+		if s.now-c.sent > allowed && (oldest == nil || c.sent < oldest.sent) {
 			oldest = c
 		}
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -614,7 +614,7 @@
 		b := newBench(t, nil)
 		b.serve(20, safe, 11)
 		for range cures {
-			b.s.cured.add(b.now, curedMemory, 1)
+			b.s.cured.add(b.now, deliveredMemory, 1)
 		}
 		b.take(safe)
 		out := b.wait(minLate + 200*ms)
@@ -632,7 +632,7 @@
 		b := newBench(t, nil)
 		b.serve(20, safe, 11)
 		for i := 0; dying && i < 3; i++ {
-			b.s.cured.add(b.now, curedMemory, 1)
+			b.s.cured.add(b.now, deliveredMemory, 1)
 		}
 		_, out := b.take(keyed)
 		if got := sends(out)[0].Timeout > 0; got != dying {
@@ -941,3 +941,27 @@
 		}
 	}
 }
+
+// Where answers are lost, a sender of a crowd has its few slots taken by calls that nobody will answer.
+func TestCrowdGivesUpRepeatableCallsEarlyWhenShortOfSlots(t *testing.T) {
+	for _, c := range []struct {
+		senders, class int
+		want           bool // called off after three late-answer times
+	}{{300, safe, true}, {300, keyed, true}, {300, once, false}, {3, safe, false}, {3, keyed, false}} {
+		b := newBench(t, func(s *Settings) { s.Senders, s.Slots = c.senders, 3 }, Entry{Endpoint: 11, Destination: 1},
+			Entry{Endpoint: 21, Destination: 2})
+		b.serve(5, safe, 11)
+		b.serve(1, safe, 11)
+		late := b.s.lateAfter(b.s.endpoints[11])
+		out, _ := b.take(c.class)
+		b.take(c.class)
+		id := b.arrive(safe)
+		b.step(Arrived{ID: id, Destination: 2, Class: once, TimeLeft: 16 * sec})
+		id = b.arrive(safe)
+		b.step(Arrived{ID: id, Destination: 2, Class: safe, TimeLeft: 16 * sec})
+		cancels := pick[Cancel](b.wait(haste*late + late/2))
+		if got := len(cancels) > 0 && cancels[0].ID == out; got != c.want {
+			t.Errorf("%d senders, class %d: called off %v, want %v", c.senders, c.class, cancels, c.want)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -41,19 +41,23 @@
 	ramping          // back from an outage, and cold
 )
 
+// timing is how long calls take, smoothed.
+type timing struct {
+	latency, spread float64 // seconds
+	known           bool    // there is a sample
+}
+
 // endpoint is one place that takes calls, with what this sender has seen of it.
 type endpoint struct {
-	id      EndpointID
-	zone    int
-	kind    int
-	dest    *destination
-	lane    *lane
-	listed  bool
-	rate    float64 // listed rate
-	calls   []*call // out, oldest first
-	latency float64 // seconds, smoothed
-	spread  float64
-	known   bool // latency has a sample
+	id     EndpointID
+	zone   int
+	kind   int
+	dest   *destination
+	lane   *lane
+	listed bool
+	rate   float64 // listed rate
+	calls  []*call // out, oldest first
+	timing
 
 	health     health
 	symptom    Outcome
@@ -137,6 +141,7 @@
 	attempts  map[attemptKey]*attempt
 	turns     map[string]*turn
 	calls     []*call // out, oldest first; each holds a slot
+	usual     timing  // of all endpoints
 	arrivals  []meter
 	total     meter
 	cured     meter       // silences that a fresh connection ended
@@ -195,9 +200,9 @@
 	s.held[m.id] = m
 	m.dest.msgs = append(m.dest.msgs, m)
 	m.dest.wanted.add(s.now, deliveredMemory, 1)
-	s.total.add(s.now, shareMemory, 1)
+	s.total.add(s.now, deliveredMemory, 1)
 	if e.Tenant < len(s.arrivals) {
-		s.arrivals[e.Tenant].add(s.now, shareMemory, 1)
+		s.arrivals[e.Tenant].add(s.now, deliveredMemory, 1)
 	}
 }
 
