--- a/rules/rules.go
+++ b/rules/rules.go
@@ -182,14 +182,8 @@
 }
 
 func (s *Sender) mayRefuse(m *message) bool {
-	ran := m.mayRun != never || len(m.out) > 0
-	switch m.class.Effect {
-	case Safe:
-		return true
-	case Keyed:
-		ran = ran && m.class.Scope != ScopeDestination
-	}
-	return !ran
+	ran, c := m.mayRun != never || len(m.out) > 0, m.class
+	return !ran || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeDestination
 }
 
 // advice says when a refused client should come back: when the destination may be sent to again.
@@ -435,7 +429,11 @@
 	}
 	own := ep.dest.wanted.perSecond(s.now, deliveredMemory) / float64(routes)
 	share := 1 / max(s.set.OverloadFactor*s.set.ColdShare*own, 1e-3)
-	growth := math.Exp2(float64(3 * min(ep.fails-1, failStreak)))
+	steps := min(ep.fails-1, failStreak)
+	if slices.ContainsFunc(ep.dest.endpoints, func(o *endpoint) bool { return o.listed && o.fails == 0 }) {
+		steps++ // others can serve meanwhile
+	}
+	growth := math.Exp2(float64(3 * steps))
 	first := retryPause.Seconds() * float64(max(s.set.Senders-crowd, 0))
 	return seconds(min(first*growth, share) * (0.5 + s.rng.Float64()))
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -965,3 +965,20 @@
 		}
 	}
 }
+
+// While another endpoint can serve, one that failed is left alone for longer: trying it gains little.
+func TestPauseIsLongerWhereOthersServe(t *testing.T) {
+	crowded := func(s *Settings) { s.Senders = 300 }
+	pause := func(entries ...Entry) time.Duration {
+		b := newBench(t, crowded, entries...)
+		b.step(Arrived{ID: "m", Destination: 1, Class: safe, TimeLeft: 16 * sec})
+		ep := b.s.held["m"].out[0].call.ep
+		b.end("m", 0, ep.id, ConnectError)
+		return b.s.dests[1].retryAt - b.now
+	}
+	alone, beside := pause(Entry{Endpoint: 11, Destination: 1}),
+		pause(Entry{Endpoint: 11, Destination: 1}, Entry{Endpoint: 12, Destination: 1})
+	if beside < 2*alone {
+		t.Errorf("rests %v beside another endpoint and %v alone, want much longer beside", beside, alone)
+	}
+}
