A new endpoint inherits its destination's failures in a crowd

Longer pauses (9 and 20 ms a sender) did not help. Also guards against replaced endpoints in any outage; a healthy newcomer waits one pause.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -323,8 +323,7 @@
 }
 
 // settle decides about a message after one of its attempts. In a crowd a refused one pauses before it goes
-// anywhere. Guards against refusals that feed on each other: where they use up the limit too, a clump that
-// spills from route to route keeps all of them shut. Where a limit soon has room, it makes messages late.
+// anywhere. Guards against refusals that feed on each other where they use up the limit; may make it late.
 func (s *Sender) settle(m *message, a *attempt, e Ended) {
 	if m.over {
 		return
@@ -438,6 +437,15 @@
 	return seconds(min(first*growth, share) * (0.5 + s.rng.Float64()))
 }
 
+// inherit gives a new endpoint its destination's failures, or a crowd's whole backlog goes there at once.
+func (s *Sender) inherit(ep *endpoint) {
+	for _, other := range ep.dest.endpoints {
+		if s.set.Senders > crowd && other.lane == ep.lane {
+			ep.fails = max(ep.fails, other.fails)
+		}
+	}
+}
+
 // suspend puts an endpoint on probation.
 func (s *Sender) suspend(ep *endpoint, why Outcome) {
 	if ep.health == healthy {
@@ -457,7 +465,6 @@
 // refused takes a refusal as full: the pace's matter, unless it lasts, which a limit's refusals do not. Then
 // the destination is shut and comes back cold. In a crowd the first gap is any part of a whole one, so that
 // not all fall silent and resume together, and sister routes are bound too, by their listed rates.
-// Guards against each of hundreds of senders finding each full route for itself; slow where just one is full.
 func (s *Sender) refused(ep *endpoint, sent, wait time.Duration) {
 	l, first := ep.lane, 1.0
 	if s.set.Senders > crowd {
@@ -518,9 +525,8 @@
 	return s.cured.perSecond(s.now, deliveredMemory) > 1/deliveredMemory.Seconds()
 }
 
-// yieldConnections closes connections as they fall idle in a crowd of senders, until many answers in a row
-// have come at a kind of destination without a failed connect. Guards against senders that fill tables with
-// connections they hardly use; as who holds one sees no failure, it goes by the kind. Costs handshakes.
+// yieldConnections closes connections as they fall idle in a crowd, until connects are proven at a kind of
+// destination: idle ones fill tables, and who holds one sees no failure. Costs handshakes.
 func (s *Sender) yieldConnections() {
 	for _, ep := range s.idled {
 		if s.set.Senders > crowd && s.opened[ep.kind] < provenOpen {
@@ -530,9 +536,8 @@
 	s.idled = s.idled[:0]
 }
 
-// withdraw calls off what an endpoint has left unanswered and may be sent again, so that it goes out anew on
-// a fresh connection. Guards against connections that died unnoticed while their endpoint is well; at an
-// endpoint that is merely slow it wastes the work begun.
+// withdraw calls off what an endpoint left unanswered and may be sent again, to go out on a fresh connection.
+// Guards against connections that died unnoticed; where the endpoint is merely slow it wastes work begun.
 func (s *Sender) withdraw(ep *endpoint) {
 	for _, c := range ep.calls {
 		effect := c.attempts[0].msg.class.Effect
@@ -647,8 +652,8 @@
 		t = ep.latency
 	}
 	t *= 1 + float64(len(ep.calls))/2
-	if s.set.Senders > crowd { // one pause for all that failed: let them take turns
-		t *= 1 + float64(ep.fails)
+	if s.set.Senders > crowd {
+		t *= 1 + float64(ep.fails) // one pause for all that failed: let them take turns
 	}
 	if s.now-ep.lastUse > s.set.KeepAlive || len(ep.calls) >= ep.peak {
 		t += handshake.Seconds()
@@ -737,8 +742,7 @@
 }
 
 // freeSlot gives up the call that has been out longest, if it is long overdue. Guards against calls that are
-// never answered filling every slot, soonest where a repeat is safe and a crowd's sender has few; where
-// answers are merely slow, it may give up one that would still have come.
+// never answered filling every slot; where answers are merely slow, it may give up one that was to come.
 func (s *Sender) freeSlot() {
 	if !s.set.MayCancel {
 		return
@@ -762,8 +766,7 @@
 	}
 }
 
-// makeRoom refuses held messages of the most backed-up destination before the holding room is full, so that
-// newcomers for others are not turned away unseen.
+// makeRoom refuses messages of the most backed-up destination before newcomers for others find no room.
 func (s *Sender) makeRoom() {
 	for limit := s.set.MaxHeld - max(1, s.set.MaxHeld/roomMargin); len(s.held) > limit; {
 		var worst *destination
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -982,3 +982,16 @@
 		t.Errorf("rests %v beside another endpoint and %v alone, want much longer beside", beside, alone)
 	}
 }
+
+// An endpoint that is added during an outage of its destination must not draw a crowd's whole backlog.
+func TestNewEndpointInheritsFailuresInACrowd(t *testing.T) {
+	for _, c := range []struct{ senders, kind, want int }{{300, 0, 1}, {300, 1, 0}, {3, 0, 0}} {
+		b := newBench(t, func(s *Settings) { s.Senders = c.senders }, Entry{Endpoint: 11, Destination: 1, Kind: c.kind})
+		id, _ := b.take(safe)
+		b.end(id, 0, 11, ConnectError)
+		b.step(Listed{Entries: []Entry{{Endpoint: 12, Destination: 1, Kind: c.kind}}})
+		if got := b.s.endpoints[12].fails; got != c.want {
+			t.Errorf("%d senders, kind %d: the new endpoint counts %d failures, want %d", c.senders, c.kind, got, c.want)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -233,6 +233,7 @@
 			if !s.kind(ep).RoutesApart && len(d.endpoints) > 0 {
 				ep.lane = d.endpoints[0].lane
 			}
+			s.inherit(ep)
 			s.endpoints[entry.Endpoint] = ep
 			d.endpoints = append(d.endpoints, ep)
 		}
