--- /dev/null
+++ b/cmd/eiderhaven/config.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"eiderhaven/internal/exchange"
+	"eiderhaven/internal/registry"
+	"eiderhaven/internal/settings"
+	"eiderhaven/rules"
+)
+
+// config is what the sender is told at its start.
+type config struct {
+	name, listen, discovery, state string
+
+	cores    float64
+	memory   int64 // bytes
+	sockets  int
+	disk     int64 // bytes
+	settings *rules.Settings
+	names    *settings.Names
+	known    exchange.Listing
+	knownSeq int64
+}
+
+// configFile is the form of the file that LB_CONFIG names.
+type configFile struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+		DiskMB   float64 `json:"disk_mb"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+const (
+	megabyte   = 1_000_000 // the smaller reading of the limits' unit
+	leastDisk  = 512 << 10 // the ledger's segments must hold a message each
+	fewSockets = 32
+)
+
+// loadConfig reads the configuration by the environment's word. Name and addresses in the environment win.
+func loadConfig(getenv func(string) string) (*config, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, errors.New("LB_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var f configFile
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	c := &config{name: f.Name, listen: f.Listen, discovery: f.Discovery, state: getenv("LB_STATE"),
+		cores: f.Limits.Cores, memory: int64(f.Limits.MemoryMB * megabyte), sockets: f.Limits.Sockets,
+		disk: int64(f.Limits.DiskMB * megabyte)}
+	for name, field := range map[string]*string{"LB_NAME": &c.name, "LB_LISTEN": &c.listen, "LB_DISCOVERY": &c.discovery} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("%s: bad seed", path)
+	}
+	if c.settings, c.names, err = settings.Decode(f.Settings, seed); err != nil {
+		return nil, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	if len(c.settings.Classes) == 0 || c.settings.Slots < 1 || c.settings.MaxHeld < 1 || c.settings.Tick <= 0 {
+		return nil, fmt.Errorf("%s: settings lack classes, slots, room or a tick", path)
+	}
+	if c.knownSeq, c.known, err = registry.Parse(f.Known, c.names); err != nil {
+		return nil, fmt.Errorf("%s: known: %w", path, err)
+	}
+	return c, nil
+}
+
+func (c *config) check() error {
+	for _, addr := range []string{c.listen, c.discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return fmt.Errorf("bad address: %w", err)
+		}
+	}
+	if c.state == "" {
+		return errors.New("LB_STATE is not set")
+	}
+	if c.cores <= 0 || c.memory <= 0 || c.sockets < fewSockets || c.disk < leastDisk {
+		return errors.New("limits lack cores, memory, sockets or disk, or are too small")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/eiderhaven/main.go
@@ -0,0 +1,39 @@
+// Command eiderhaven is one sender: it takes messages from clients and delivers them to endpoints, as the decision
+// module in package rules says. This package owns the process: configuration, limits, signals and the phases from
+// start to exit (service.go). It must never touch a message.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "eiderhaven:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	cfg, err := loadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.cores))))
+	debug.SetMemoryLimit((cfg.memory - cfg.disk) / 4 * 3) // files count as memory; the rest is for the kernel's buffers
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", cfg.name)
+	s, err := newService(cfg, log)
+	if err != nil {
+		return err
+	}
+	return s.run(signals)
+}
--- /dev/null
+++ b/cmd/eiderhaven/service.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"eiderhaven/internal/exchange"
+	"eiderhaven/internal/intake"
+	"eiderhaven/internal/ledger"
+	"eiderhaven/internal/outbound"
+	"eiderhaven/internal/registry"
+)
+
+// phase is where a service stands between its start and its exit.
+type phase int32
+
+// The phases, in order.
+const (
+	starting   phase = iota // parts are built, the ledger is read
+	recovering              // what an earlier process left is handed to the module
+	ready                   // clients are served
+	draining                // told to end: clients are still served, what is held goes out
+	stopped                 // nothing runs; what is owed stays in the ledger
+)
+
+func (p phase) String() string {
+	return [...]string{"starting", "recovering", "ready", "draining", "stopped"}[p]
+}
+
+// Time limits of the phases. The platform kills a sender 3.7 s after it was told to end.
+const (
+	listWait   = 400 * time.Millisecond  // for the first list; without it the known one has to do
+	drainFor   = 3300 * time.Millisecond // clients are served so long after the signal
+	lastOrders = 600 * time.Millisecond  // within this, new clients still come
+	closeFor   = 200 * time.Millisecond  // for the last notices
+	slowClient = 5 * time.Second
+	idleClient = 2 * time.Minute
+)
+
+// service is the sender as a whole.
+type service struct {
+	cfg      *config
+	log      *slog.Logger
+	phase    atomic.Int32
+	ledger   *ledger.Ledger
+	exchange *exchange.Exchange
+	pool     *outbound.Pool
+	intake   *intake.Server
+	registry *registry.Registry
+	notices  *registry.Notices
+	listener net.Listener
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// platform joins the two sides of discovery for the exchange.
+type platform struct {
+	*registry.Notices
+	watch func()
+}
+
+func (p platform) Watch() { p.watch() }
+
+// newService builds the parts and reads the ledger.
+func newService(cfg *config, log *slog.Logger) (*service, error) {
+	s := &service{cfg: cfg, log: log}
+	led, err := ledger.Open(cfg.state, cfg.disk, log)
+	if err != nil {
+		return nil, err
+	}
+	s.ledger = led
+	s.registry = registry.New(cfg.discovery, cfg.knownSeq, cfg.names, log)
+	s.notices = registry.NewNotices(cfg.discovery, log)
+	s.pool = outbound.New(outbound.Config{ConnectTimeout: cfg.settings.ConnectTimeout, KeepAlive: cfg.settings.KeepAlive,
+		MaxConns: cfg.sockets / 3, Finish: func(c *exchange.Call, r exchange.Result) { s.exchange.Finish(c, r) }})
+	s.exchange = exchange.New(exchange.Config{Settings: cfg.settings, Classes: cfg.names.Classes, Known: cfg.known,
+		Ledger: led, Caller: s.pool, Platform: platform{s.notices, s.registry.Watch}, Log: log})
+	s.intake = intake.New(intake.Config{Exchange: s.exchange, Ready: s.isReady, Classes: cfg.names.Classes,
+		MaxConns: cfg.sockets / 2, Slow: slowClient, Idle: idleClient, Log: log})
+	return s, nil
+}
+
+func (s *service) enter(p phase) {
+	s.phase.Store(int32(p))
+	s.log.Info("phase", "is", p)
+}
+
+func (s *service) isReady() bool {
+	p := phase(s.phase.Load())
+	return p == ready || p == draining
+}
+
+// run takes the service through its phases.
+func (s *service) run(signals <-chan os.Signal) error {
+	s.enter(recovering)
+	if err := s.recover(); err != nil {
+		return err
+	}
+	s.enter(ready)
+	s.await(signals)
+	s.enter(draining)
+	s.drain(signals)
+	err := s.stop()
+	s.enter(stopped)
+	s.report()
+	return err
+}
+
+// recover hands the module what is owed and starts the parts. The first list is waited for, but not long: calls to
+// endpoints that have gone meanwhile fail, a late sender fails everything.
+func (s *service) recover() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.exchange.Recover()
+	s.wg.Go(func() { s.registry.Run(ctx, s.exchange) })
+	s.wg.Go(func() { s.notices.Run(ctx, s.exchange) })
+	go s.exchange.Run()
+	select {
+	case <-s.registry.Heard():
+	case <-time.After(listWait):
+	}
+	ln, err := net.Listen("tcp", s.cfg.listen)
+	if err != nil {
+		return fmt.Errorf("clients cannot be served: %w", err)
+	}
+	s.listener = ln
+	s.wg.Go(func() { s.intake.Serve(ln) })
+	return nil
+}
+
+// await returns when the service is told to end.
+func (s *service) await(signals <-chan os.Signal) {
+	for sig := range signals {
+		if sig != syscall.SIGUSR1 {
+			return
+		}
+		s.report()
+	}
+}
+
+// drain goes on serving until the time is over, or nobody is left to serve and nothing is owed.
+func (s *service) drain(signals <-chan os.Signal) {
+	begun := time.Now()
+	end := time.NewTimer(drainFor)
+	defer end.Stop()
+	look := time.NewTicker(50 * time.Millisecond)
+	defer look.Stop()
+	for {
+		select {
+		case <-end.C:
+			return
+		case sig := <-signals:
+			if sig == syscall.SIGUSR1 {
+				s.report()
+			}
+		case <-look.C:
+			if time.Since(begun) > lastOrders && s.intake.Open() == 0 && s.exchange.Counts().Held == 0 &&
+				s.notices.Pending() == 0 {
+				return
+			}
+		}
+	}
+}
+
+// stop ends the parts, those that take in first. What is owed stays in the ledger.
+func (s *service) stop() error {
+	s.listener.Close()
+	s.intake.Close()
+	for end := time.Now().Add(closeFor); s.notices.Pending() > 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.cancel()
+	s.wg.Wait()
+	s.exchange.Stop()
+	return s.ledger.Close()
+}
+
+// report logs the counters.
+func (s *service) report() {
+	in := &s.intake.Counts
+	s.log.Info("counters", "exchange", s.exchange.Counts(),
+		slog.Group("intake", "requests", in.Requests.Load(), "health", in.Health.Load(),
+			"submitted", in.Submitted.Load(), "rejected", in.Rejected.Load(), "gone", in.Gone.Load()),
+		slog.Group("discovery", "lists", s.registry.Lists.Load(), "failed", s.registry.Failed.Load(),
+			"notices_pending", s.notices.Pending(), "notices_failed", s.notices.Failed.Load()),
+		slog.Group("ledger", "broken", s.ledger.Stats().Broken))
+}
--- /dev/null
+++ b/internal/exchange/counts.go
@@ -0,0 +1,66 @@
+package exchange
+
+import (
+	"log/slog"
+
+	"eiderhaven/rules"
+)
+
+// Counts is what an exchange has done since its start. Three sums hold between two steps: In is Unknown, Duplicate,
+// Refused, Failed and Taken; Taken and Recovered are Delivered, Bounced, Dead, Withdrawn, Elsewhere and Held;
+// Attempts is what has an outcome, of whichever kind, and what is Out.
+type Counts struct {
+	In, Unknown, Duplicate, Refused, Failed, Taken, Recovered int
+	Delivered, Bounced, Dead, Withdrawn, Elsewhere            int
+	Held, Out                                                 int
+	Calls, Attempts                                           int
+	Outcomes                                                  [rules.NotSent + 1]int
+	Noticed, Unrecorded                                       int
+}
+
+var outcomeNames = [rules.NotSent + 1]string{
+	rules.OK: "ok", rules.Errored: "errored", rules.Full: "full", rules.TimedOut: "timed_out",
+	rules.ConnectError: "no_connection", rules.Reset: "reset", rules.Cancelled: "cancelled", rules.NotSent: "not_sent",
+}
+
+// Counts returns the counters. It may be called at any time, also after Run has ended.
+func (x *Exchange) Counts() Counts {
+	got := make(chan Counts, 1)
+	if x.post(func() { got <- x.snapshot() }) {
+		select {
+		case c := <-got:
+			return c
+		case <-x.done:
+		}
+	}
+	<-x.done
+	return x.snapshot()
+}
+
+func (x *Exchange) snapshot() Counts {
+	c := x.counts
+	c.Held = len(x.held)
+	for _, f := range x.flights {
+		for _, it := range f.items {
+			if !it.told {
+				c.Out++
+			}
+		}
+	}
+	return c
+}
+
+// LogValue gives the counters their names in the log.
+func (c Counts) LogValue() slog.Value {
+	list := []slog.Attr{
+		slog.Int("in", c.In), slog.Int("unknown", c.Unknown), slog.Int("duplicate", c.Duplicate),
+		slog.Int("refused", c.Refused), slog.Int("failed", c.Failed), slog.Int("taken", c.Taken), slog.Int("recovered", c.Recovered),
+		slog.Int("delivered", c.Delivered), slog.Int("bounced", c.Bounced), slog.Int("dead", c.Dead),
+		slog.Int("withdrawn", c.Withdrawn), slog.Int("elsewhere", c.Elsewhere), slog.Int("held", c.Held),
+		slog.Int("calls", c.Calls), slog.Int("attempts", c.Attempts), slog.Int("out", c.Out),
+	}
+	for i, name := range outcomeNames {
+		list = append(list, slog.Int(name, c.Outcomes[i]))
+	}
+	return slog.GroupValue(append(list, slog.Int("noticed", c.Noticed), slog.Int("unrecorded", c.Unrecorded))...)
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,305 @@
+// Package exchange is where the client side and the endpoint side meet. One goroutine owns the decision module,
+// the messages held and the ledger: it takes events, steps the module at most once a tick, and hands out what the
+// module wants done. It must never wait for a socket, and never decide what becomes of a message: that is the
+// module's, in package rules.
+package exchange
+
+import (
+	"log/slog"
+	"time"
+
+	"eiderhaven/internal/ledger"
+	"eiderhaven/internal/message"
+	"eiderhaven/rules"
+)
+
+// Verdict is what a client is told of a message.
+type Verdict int
+
+// The verdicts.
+const (
+	Taken     Verdict = iota // the sender owes it an end
+	Refused                  // handing it in again is harmless
+	Failed                   // given up at once, with no promise
+	Unknown                  // nobody has heard of its destination or class
+	Duplicate                // a message of that name is held
+	Stopped                  // the sender is at its end; as Refused
+)
+
+// Answer is the verdict on a message, with the time after which to come back if it was refused.
+type Answer struct {
+	Verdict    Verdict
+	RetryAfter time.Duration
+}
+
+// Call is one call to an endpoint. The endpoint side does it and hands its result to Exchange.Finish.
+type Call struct {
+	Dial    string
+	Items   []*message.Message
+	Waiting time.Duration // how long the sender will wait for it
+	flight  *flight
+}
+
+// Result is how a call ended.
+type Result struct {
+	Written bool // the last byte of the call was written, so it may have run unless the outcome denies it
+	Items   []ItemResult
+}
+
+// ItemResult is how one message of a call fared.
+type ItemResult struct {
+	Outcome rules.Outcome
+	Wait    time.Duration
+	NoSlot  bool
+	Over    bool // the endpoint says that the message is over: nothing more is owed
+	Report  rules.Report
+}
+
+// Handle lets a call be given up. Its result is still handed in.
+type Handle interface{ Cancel() }
+
+// Caller is the endpoint side. None of its methods may wait.
+type Caller interface {
+	Start(*Call) Handle
+	CloseIdle(dial string)
+}
+
+// Platform is the side that lists the endpoints and takes notices. None of its methods may wait.
+type Platform interface {
+	Tell(ledger.Notice)
+	Watch()
+}
+
+// Host is one endpoint as the registry lists it.
+type Host struct {
+	Name, Dial       string
+	Dest, Kind, Zone int
+	Rate             float64
+	Draining, Gone   bool
+}
+
+// Listing is the registry's list, whole or as changes.
+type Listing struct {
+	Whole bool
+	Hosts []Host
+}
+
+// Config is what an exchange starts from.
+type Config struct {
+	Settings *rules.Settings
+	Classes  []string // names, in the order of the settings
+	Known    Listing  // as this sender last held it
+	Ledger   *ledger.Ledger
+	Caller   Caller
+	Platform Platform
+	Log      *slog.Logger
+}
+
+// clockStart is the module's time at the start of the process, so that what an earlier process did lies after 0.
+const clockStart = 24 * time.Hour
+
+// Exchange is a running exchange.
+type Exchange struct {
+	cfg     Config
+	in      chan func()
+	halt    chan struct{} // closed to end Run
+	done    chan struct{} // closed when Run has ended
+	started time.Time
+	classes map[string]int
+
+	sender   *rules.Sender
+	held     map[string]*held
+	flights  []*flight // out, oldest first
+	dir      directory
+	events   []rules.Event
+	fresh    []*held // taken in since the last step, not answered yet
+	wakeAt   time.Duration
+	lastStep time.Duration
+	counts   Counts
+	stopping bool // in the last step
+}
+
+// held is a message between its taking and its end.
+type held struct {
+	msg      *message.Message
+	attempts int
+	reply    chan Answer // nil once answered
+}
+
+// New returns an exchange that has not started. It hands the module the known list and what the ledger owes.
+func New(cfg Config) *Exchange {
+	x := &Exchange{cfg: cfg, in: make(chan func(), 1024), halt: make(chan struct{}), done: make(chan struct{}),
+		started: time.Now(), classes: map[string]int{}, sender: rules.New(*cfg.Settings), held: map[string]*held{},
+		dir: newDirectory(), wakeAt: -1}
+	for i, name := range cfg.Classes {
+		x.classes[name] = i
+	}
+	return x
+}
+
+// Recover tells the module of the known list and of what an earlier process left owed. Call it once, before Run.
+func (x *Exchange) Recover() {
+	x.events = append(x.events, x.dir.update(x.cfg.Known))
+	for _, n := range x.cfg.Ledger.Notices() {
+		x.cfg.Platform.Tell(n)
+	}
+	owed := x.cfg.Ledger.Owed()
+	for _, o := range owed {
+		x.restore(o)
+	}
+	if len(owed) > 0 {
+		x.cfg.Log.Info("recovered", "owed", len(owed))
+	}
+	x.step()
+}
+
+// restore hands the module a message that an earlier process had taken.
+func (x *Exchange) restore(o ledger.Owed) {
+	x.counts.Recovered++
+	m := o.Message
+	h := &held{msg: m, attempts: o.Attempts}
+	x.held[m.ID] = h
+	class, known := x.classes[m.Class]
+	if !known {
+		x.cfg.Log.Warn("a message of a class that is no longer known is given up", "class", m.Class)
+		x.fail(h)
+		return
+	}
+	before := rules.Before{Attempts: o.Attempts, MayRun: o.MayRun}
+	if o.MayRun {
+		before.Ago, before.At = max(0, time.Since(o.At)), x.dir.ids[o.Host]
+	}
+	x.events = append(x.events, rules.Arrived{ID: rules.MessageID(m.ID), Destination: m.Dest, Class: class,
+		TimeLeft: time.Until(m.Deadline), Before: before})
+}
+
+// now is the module's clock.
+func (x *Exchange) now() time.Duration { return clockStart + time.Since(x.started) }
+
+// post hands the exchange something to do; it is false if the exchange has ended.
+func (x *Exchange) post(f func()) bool {
+	select {
+	case x.in <- f:
+		return true
+	case <-x.done:
+		return false
+	}
+}
+
+// Submit hands in a message. The answer comes after the step that takes it in, which is within two ticks.
+func (x *Exchange) Submit(m *message.Message) Answer {
+	reply := make(chan Answer, 1)
+	if !x.post(func() { x.take(m, reply) }) {
+		return Answer{Verdict: Stopped}
+	}
+	select {
+	case a := <-reply:
+		return a
+	case <-x.done:
+	}
+	select { // it may have been answered in the last step
+	case a := <-reply:
+		return a
+	default:
+		return Answer{Verdict: Stopped}
+	}
+}
+
+// Withdraw tells that the client of a message has gone before it heard that the message was taken on.
+func (x *Exchange) Withdraw(id string) {
+	x.post(func() {
+		if h := x.held[id]; h != nil {
+			x.counts.Withdrawn++
+			x.over(h)
+			x.events = append(x.events, rules.Withdrawn{ID: rules.MessageID(id)})
+		}
+	})
+}
+
+// Finish hands in the result of a call.
+func (x *Exchange) Finish(c *Call, r Result) { x.post(func() { x.finished(c.flight, r) }) }
+
+// List hands in what the registry told.
+func (x *Exchange) List(l Listing) { x.post(func() { x.events = append(x.events, x.dir.update(l)) }) }
+
+// ListFailed tells that the registry could not be heard.
+func (x *Exchange) ListFailed() { x.post(func() { x.events = append(x.events, rules.ListFailed{}) }) }
+
+// Noticed tells that the platform has accepted the notices of these messages.
+func (x *Exchange) Noticed(ids []string) {
+	x.post(func() {
+		x.counts.Noticed += len(ids)
+		x.record(x.cfg.Ledger.End(ids...))
+	})
+}
+
+// Run steps the module until Stop. What is held then stays in the ledger.
+func (x *Exchange) Run() {
+	defer close(x.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case f := <-x.in:
+			f()
+		case <-timer.C:
+		case <-x.halt:
+			x.drain()
+			x.stopping = true
+			x.step()
+			return
+		}
+		x.drain()
+		timer.Reset(x.advance())
+	}
+}
+
+// Stop ends Run after one last step and waits for it.
+func (x *Exchange) Stop() {
+	close(x.halt)
+	<-x.done
+}
+
+// drain takes in all that has come by now.
+func (x *Exchange) drain() {
+	for {
+		select {
+		case f := <-x.in:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// advance steps if there is anything to do and the tick allows it, and returns when to look again.
+func (x *Exchange) advance() time.Duration {
+	const idle = time.Minute
+	now, tick := x.now(), x.cfg.Settings.Tick
+	due := x.nextDue()
+	if len(x.events) > 0 || len(x.fresh) > 0 {
+		due = now
+	}
+	if due < 0 {
+		return idle
+	}
+	if due = max(due, x.lastStep+tick); now < due {
+		return min(due-now, idle)
+	}
+	x.step()
+	if due = x.nextDue(); due < 0 {
+		return idle
+	}
+	return max(min(max(due, x.lastStep+tick)-x.now(), idle), 0)
+}
+
+// nextDue is the earliest wake-up or time-out, negative if there is none.
+func (x *Exchange) nextDue() time.Duration {
+	due := x.wakeAt
+	for _, f := range x.flights {
+		if at := f.nextDue(); at >= 0 && (due < 0 || at < due) {
+			due = at
+		}
+	}
+	return due
+}
--- /dev/null
+++ b/internal/exchange/step.go
@@ -0,0 +1,337 @@
+package exchange
+
+import (
+	"slices"
+	"time"
+
+	"eiderhaven/internal/ledger"
+	"eiderhaven/internal/message"
+	"eiderhaven/rules"
+)
+
+// flight is a call that is out.
+type flight struct {
+	call   *Call
+	handle Handle
+	ep     rules.EndpointID
+	sent   time.Duration
+	items  []item
+}
+
+// item is one attempt of a call.
+type item struct {
+	msg  *message.Message
+	num  int
+	due  time.Duration // when waiting for it ends
+	told bool          // the module has its outcome
+	ends rules.Outcome // why it is given up
+	quit bool          // it is given up
+}
+
+// nextDue is when the next attempt of the call times out, negative if none is left.
+func (f *flight) nextDue() time.Duration {
+	due := time.Duration(-1)
+	for _, it := range f.items {
+		if !it.told && !it.quit && (due < 0 || it.due < due) {
+			due = it.due
+		}
+	}
+	return due
+}
+
+// take takes in a message, unless it cannot be kept.
+func (x *Exchange) take(m *message.Message, reply chan Answer) {
+	x.counts.In++
+	class, known := x.classes[m.Class]
+	switch {
+	case !known || !x.dir.dests[m.Dest]:
+		x.counts.Unknown++
+		reply <- Answer{Verdict: Unknown}
+		return
+	case x.held[m.ID] != nil:
+		x.counts.Duplicate++
+		reply <- Answer{Verdict: Duplicate}
+		return
+	case len(x.held) >= x.cfg.Settings.MaxHeld || x.record(x.cfg.Ledger.Take(m)) != nil:
+		x.counts.Refused++
+		reply <- Answer{Verdict: Refused, RetryAfter: x.retryAfter(x.cfg.Settings.MaxRetryAfter)}
+		return
+	}
+	h := &held{msg: m, reply: reply}
+	x.held[m.ID] = h
+	x.fresh = append(x.fresh, h)
+	x.events = append(x.events, rules.Arrived{ID: rules.MessageID(m.ID), Destination: m.Dest, Class: class,
+		TimeLeft: time.Until(m.Deadline)})
+}
+
+func (x *Exchange) retryAfter(d time.Duration) time.Duration {
+	if !x.cfg.Settings.MayAdvise {
+		return 0
+	}
+	return d
+}
+
+// step tells the module what has come in and does what it wants.
+func (x *Exchange) step() {
+	now := x.now()
+	x.expire(now)
+	if x.wakeAt >= 0 && x.wakeAt <= now {
+		x.wakeAt = -1
+		x.events = append(x.events, rules.Woke{})
+	}
+	events := x.events
+	x.events = nil
+	actions := x.sender.Step(now, events)
+	x.lastStep = now
+	var sends []rules.Send
+	for _, a := range actions {
+		switch a := a.(type) {
+		case rules.Send:
+			sends = append(sends, a)
+		case rules.Refuse:
+			x.refuse(x.held[string(a.ID)], a.RetryAfter)
+		case rules.Fail:
+			x.fail(x.held[string(a.ID)])
+		case rules.Cancel:
+			x.cancel(string(a.ID), a.Attempt)
+		case rules.CloseIdle:
+			x.cfg.Caller.CloseIdle(x.dir.hosts[a.Endpoint].Dial)
+		case rules.WakeAfter:
+			x.wakeAt = now + a.After
+		case rules.Watch:
+			x.cfg.Platform.Watch()
+		}
+	}
+	x.send(now, sends)
+	for _, h := range x.fresh {
+		x.answer(h, Answer{Verdict: Taken})
+	}
+	x.fresh = x.fresh[:0]
+}
+
+// answer tells the client, once.
+func (x *Exchange) answer(h *held, a Answer) {
+	if h.reply == nil {
+		return
+	}
+	if a.Verdict == Taken {
+		x.counts.Taken++
+	}
+	h.reply <- a
+	h.reply = nil
+}
+
+// over drops a message of which nothing more is owed.
+func (x *Exchange) over(h *held) {
+	delete(x.held, h.msg.ID)
+	x.record(x.cfg.Ledger.End(h.msg.ID))
+}
+
+// refuse ends a message: in the answer if the client still waits for it, else by a notice.
+func (x *Exchange) refuse(h *held, after time.Duration) {
+	switch {
+	case h == nil:
+	case h.reply != nil:
+		x.counts.Refused++
+		x.answer(h, Answer{Verdict: Refused, RetryAfter: after})
+		x.over(h)
+	default:
+		x.counts.Bounced++
+		x.tell(h, ledger.Notice{ID: h.msg.ID, Wait: after})
+	}
+}
+
+// fail ends a message with no promise.
+func (x *Exchange) fail(h *held) {
+	switch {
+	case h == nil:
+	case h.reply != nil:
+		x.counts.Failed++
+		x.answer(h, Answer{Verdict: Failed})
+		x.over(h)
+	default:
+		x.counts.Dead++
+		x.tell(h, ledger.Notice{ID: h.msg.ID, Dead: true})
+	}
+}
+
+func (x *Exchange) tell(h *held, n ledger.Notice) {
+	delete(x.held, h.msg.ID)
+	x.record(x.cfg.Ledger.Tell(n))
+	x.cfg.Platform.Tell(n)
+}
+
+// record counts a record that the ledger could not write; the sender goes on without it.
+func (x *Exchange) record(err error) error {
+	if err != nil {
+		if x.counts.Unrecorded == 0 {
+			x.cfg.Log.Error("a record could not be written; further ones are only counted", "err", err)
+		}
+		x.counts.Unrecorded++
+	}
+	return err
+}
+
+// send groups the sends of one step by endpoint, as far as its kind allows, and starts a call for each group.
+// In the last step none goes out: its answer would find nobody.
+func (x *Exchange) send(now time.Duration, sends []rules.Send) {
+	if x.stopping {
+		return
+	}
+	var order []*flight
+	open := map[rules.EndpointID]*flight{}
+	for _, s := range sends {
+		h := x.held[string(s.ID)]
+		if h == nil {
+			continue
+		}
+		host := x.dir.hosts[s.Endpoint]
+		it := item{msg: h.msg, num: h.attempts, due: now + time.Until(h.msg.Deadline)}
+		if s.Timeout > 0 {
+			it.due = min(it.due, now+s.Timeout)
+		}
+		h.attempts++
+		x.counts.Attempts++
+		f := open[s.Endpoint]
+		if f == nil || len(f.items) >= x.batch(host.Kind) {
+			f = &flight{ep: s.Endpoint, sent: now, call: &Call{Dial: host.Dial}}
+			f.call.flight = f
+			open[s.Endpoint] = f
+			order = append(order, f)
+		}
+		f.items = append(f.items, it)
+	}
+	for _, f := range order {
+		x.start(f)
+	}
+}
+
+func (x *Exchange) batch(kind int) int {
+	if kind >= 0 && kind < len(x.cfg.Settings.Kinds) {
+		return max(1, x.cfg.Settings.Kinds[kind].Batch)
+	}
+	return 1
+}
+
+// start records a call and hands it out. One that must not or cannot go out ends at once as not sent.
+func (x *Exchange) start(f *flight) {
+	host := x.dir.hosts[f.ep]
+	var ids []string
+	var nums []int
+	misrouted := host.Dial == ""
+	for _, it := range f.items {
+		f.call.Items = append(f.call.Items, it.msg)
+		f.call.Waiting = max(f.call.Waiting, it.due-f.sent)
+		ids, nums = append(ids, it.msg.ID), append(nums, it.num)
+		misrouted = misrouted || it.msg.Dest != host.Dest
+	}
+	if misrouted {
+		x.cfg.Log.Error("a call to an endpoint of another destination was held back", "endpoint", host.Name)
+	}
+	if misrouted || x.record(x.cfg.Ledger.Call(ids, nums, host.Name, time.Now())) != nil {
+		for i := range f.items {
+			x.ended(f, i, ItemResult{Outcome: rules.NotSent})
+		}
+		return
+	}
+	x.counts.Calls++
+	x.flights = append(x.flights, f)
+	f.handle = x.cfg.Caller.Start(f.call)
+}
+
+// expire gives up the attempts whose time is over.
+func (x *Exchange) expire(now time.Duration) {
+	for _, f := range slices.Clone(x.flights) {
+		for i := range f.items {
+			if it := &f.items[i]; !it.told && !it.quit && it.due <= now {
+				x.giveUp(f, i, rules.TimedOut)
+			}
+		}
+	}
+}
+
+// cancel gives up an attempt on the module's wish.
+func (x *Exchange) cancel(id string, num int) {
+	for _, f := range slices.Clone(x.flights) {
+		for i := range f.items {
+			if it := &f.items[i]; it.msg.ID == id && it.num == num && !it.told && !it.quit {
+				x.giveUp(f, i, rules.Cancelled)
+			}
+		}
+	}
+}
+
+// giveUp ends the wait for one attempt. The connection is closed with the last of a call, whose result then
+// tells whether it was written; until then the others' answers may still come, and this one counts as written.
+func (x *Exchange) giveUp(f *flight, i int, why rules.Outcome) {
+	f.items[i].quit, f.items[i].ends = true, why
+	for j := range f.items {
+		if it := f.items[j]; !it.told && !it.quit {
+			x.ended(f, i, ItemResult{Outcome: why})
+			return
+		}
+	}
+	f.handle.Cancel()
+}
+
+// finished takes the result of a call.
+func (x *Exchange) finished(f *flight, r Result) {
+	i := slices.Index(x.flights, f)
+	if i < 0 {
+		return
+	}
+	x.flights = slices.Delete(x.flights, i, i+1)
+	for i := range f.items {
+		it := f.items[i]
+		if it.told {
+			continue
+		}
+		res := ItemResult{Outcome: rules.Reset}
+		if i < len(r.Items) {
+			res = r.Items[i]
+		}
+		switch {
+		case !it.quit || res.Outcome != rules.Cancelled:
+		case r.Written:
+			res.Outcome = it.ends
+		case it.ends == rules.TimedOut:
+			res.Outcome = rules.ConnectError
+		default:
+			res.Outcome = rules.NotSent
+		}
+		x.ended(f, i, res)
+	}
+}
+
+// ended tells the module how an attempt ended, and books it.
+func (x *Exchange) ended(f *flight, i int, r ItemResult) {
+	it := &f.items[i]
+	it.told = true
+	x.counts.Outcomes[r.Outcome]++
+	h := x.held[it.msg.ID]
+	over := h == nil
+	switch {
+	case over:
+	case r.Outcome == rules.OK:
+		x.counts.Delivered++
+		x.over(h)
+		over = true
+	case r.Over:
+		x.counts.Elsewhere++
+		x.over(h)
+		over = true
+	default:
+		x.record(x.cfg.Ledger.Outcome(it.msg.ID, it.num, mayRun(r.Outcome)))
+	}
+	x.events = append(x.events, rules.Ended{ID: rules.MessageID(it.msg.ID), Attempt: it.num, Endpoint: f.ep,
+		Outcome: r.Outcome, Elapsed: x.now() - f.sent, Over: over, Wait: r.Wait, NoSlot: r.NoSlot, Report: r.Report})
+}
+
+// mayRun tells whether an attempt with this outcome may have run, by the protocol's table.
+func mayRun(o rules.Outcome) bool {
+	switch o {
+	case rules.Full, rules.ConnectError, rules.NotSent:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,255 @@
+// Package intake is the client side: it accepts connections, reads the messages handed in and writes the
+// exchange's answers. It owns those connections, one goroutine each, and the form of requests (request.go). It must
+// never judge a message by more than its form, nor leave a request that it has read without an answer.
+package intake
+
+import (
+	"bufio"
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"eiderhaven/internal/exchange"
+	"eiderhaven/internal/http1"
+)
+
+// Time limits towards clients.
+const (
+	clientPatience = 400 * time.Millisecond // a client goes away when it has waited so long (the protocol's figure)
+	lingering      = 200 * time.Millisecond // to let a client read the answer to what was not read to its end
+)
+
+// Config is what a server starts from.
+type Config struct {
+	Exchange *exchange.Exchange
+	Ready    func() bool
+	Classes  []string
+	MaxConns int
+	Slow     time.Duration // for a client to send one request
+	Idle     time.Duration // between two requests
+	Log      *slog.Logger
+}
+
+// Counts is what the server has answered itself, without the exchange.
+type Counts struct {
+	Requests  atomic.Int64 // heads read whole, health checks too
+	Health    atomic.Int64
+	Submitted atomic.Int64 // given to the exchange
+	Rejected  atomic.Int64 // answered as not well formed
+	Gone      atomic.Int64 // clients that left before their answer
+}
+
+// Server serves clients.
+type Server struct {
+	cfg     Config
+	Counts  Counts
+	classes map[string]bool
+	room    chan struct{} // a token for each connection
+	mu      sync.Mutex
+	conns   map[*client]bool
+	closing bool
+	wg      sync.WaitGroup
+}
+
+// New returns a server without connections.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, classes: map[string]bool{}, room: make(chan struct{}, cfg.MaxConns), conns: map[*client]bool{}}
+	for _, c := range cfg.Classes {
+		s.classes[c] = true
+	}
+	return s
+}
+
+// Serve accepts connections until the listener is closed. Running out of descriptors only makes it wait.
+func (s *Server) Serve(ln net.Listener) {
+	pause := time.Millisecond
+	for {
+		s.makeRoom()
+		nc, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			<-s.room
+			return
+		}
+		if err != nil {
+			<-s.room
+			s.cfg.Log.Warn("a connection could not be accepted", "err", err)
+			time.Sleep(pause)
+			pause = min(2*pause, time.Second)
+			continue
+		}
+		pause = time.Millisecond
+		c := &client{nc: nc, br: bufio.NewReaderSize(nc, 4096)}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		s.wg.Go(func() { s.serve(c) })
+	}
+}
+
+// makeRoom waits until one more connection is allowed. The one idle longest goes for it: it is between requests.
+func (s *Server) makeRoom() {
+	select {
+	case s.room <- struct{}{}:
+		return
+	default:
+	}
+	s.mu.Lock()
+	var oldest *client
+	for c := range s.conns {
+		if c.idle && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.nc.SetReadDeadline(longAgo)
+	}
+	s.mu.Unlock()
+	s.room <- struct{}{}
+}
+
+// Open is the number of connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Close closes every connection between two requests and waits for the answers still to be written. The listener
+// must have been closed before.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closing = true
+	for c := range s.conns {
+		if c.idle {
+			c.nc.SetReadDeadline(longAgo)
+		}
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// client is one connection.
+type client struct {
+	nc    net.Conn
+	br    *bufio.Reader
+	buf   []byte
+	idle  bool // between two requests; guarded by the server's lock, like since
+	since time.Time
+}
+
+// longAgo as a deadline ends a blocked read at once.
+var longAgo = time.Unix(1, 0)
+
+// serve is the life of a connection.
+func (s *Server) serve(c *client) {
+	defer func() {
+		c.nc.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		<-s.room
+	}()
+	for s.await(c) && s.request(c) {
+	}
+}
+
+// await waits for the first byte of a request. It is false when the connection is to be closed.
+func (s *Server) await(c *client) bool {
+	s.mu.Lock()
+	c.idle, c.since = true, time.Now()
+	limit := c.since.Add(s.cfg.Idle)
+	if s.closing {
+		limit = longAgo
+	}
+	c.nc.SetReadDeadline(limit)
+	s.mu.Unlock()
+	_, err := c.br.Peek(1)
+	s.mu.Lock()
+	c.idle = false
+	s.mu.Unlock()
+	return err == nil
+}
+
+// request reads one request and answers it. It tells whether another may follow.
+func (s *Server) request(c *client) bool {
+	arrived := time.Now()
+	c.nc.SetDeadline(arrived.Add(s.cfg.Slow))
+	req, err := http1.ReadRequest(c.br)
+	if err != nil {
+		return s.reject(c, err)
+	}
+	if req.Continue && req.Length > 0 {
+		c.nc.Write(http1.AppendResponse(nil, 100, nil, nil))
+	}
+	body, err := http1.ReadBody(c.br, req.Length)
+	if err != nil {
+		return s.reject(c, err)
+	}
+	s.Counts.Requests.Add(1)
+	a, taken := s.handle(c, req, body, arrived)
+	if a.status == 0 {
+		s.Counts.Gone.Add(1)
+		return false
+	}
+	ends := req.Close || s.ending()
+	if ends {
+		a.fields = append(a.fields, http1.Field{Name: "Connection", Value: "close"})
+	}
+	c.nc.SetDeadline(time.Now().Add(s.cfg.Slow))
+	c.buf = http1.AppendResponse(c.buf[:0], a.status, a.fields, []byte(a.text))
+	if _, err := c.nc.Write(c.buf); err != nil {
+		if taken != "" {
+			s.cfg.Exchange.Withdraw(taken)
+		}
+		s.Counts.Gone.Add(1)
+		return false
+	}
+	return !ends
+}
+
+func (s *Server) ending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closing
+}
+
+// reject answers what is not a request and ends the connection.
+func (s *Server) reject(c *client, err error) bool {
+	status := 0
+	var fault *http1.Error
+	switch {
+	case errors.As(err, &fault):
+		status = fault.Status
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = 408
+	default:
+		return false // it has gone
+	}
+	s.Counts.Rejected.Add(1)
+	c.nc.SetDeadline(time.Now().Add(lingering))
+	fields := http1.Header{{Name: "Connection", Value: "close"}}
+	if _, err := c.nc.Write(http1.AppendResponse(nil, status, fields, []byte(err.Error()+"\n"))); err != nil {
+		return false
+	}
+	if tcp, ok := c.nc.(*net.TCPConn); ok { // unread bytes would reset the connection before the answer is read
+		tcp.CloseWrite()
+		for n := 0; n < http1.MaxBody; {
+			k, err := c.br.Discard(c.br.Size())
+			if n += k; err != nil {
+				break
+			}
+		}
+	}
+	return false
+}
+
+// gone tells whether the client has closed its connection.
+func (c *client) gone() bool {
+	c.nc.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.br.Peek(1)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,408 @@
+// Package ledger keeps what the sender owes in the folder that outlives its process: the messages taken on, the
+// calls made for them, their ends, and the notices not yet accepted. It owns that folder and its bound in bytes.
+// It must never decide what becomes of a message, exceed the bound, or be used by two goroutines at once.
+//
+// The folder holds numbered segments of checksummed records (record.go). Only the newest is written to. The
+// oldest is dropped once nothing in it is owed any more, or copied forward first: what is left of it is written
+// again, with what has been learned since, to the newest. Segments go in order of age only, so no record is ever
+// left behind whose message is gone.
+package ledger
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"eiderhaven/internal/message"
+)
+
+// ErrFull is returned where a record would not leave enough of the folder's bound.
+var ErrFull = errors.New("ledger: folder is full")
+
+const (
+	block     = 512 // files count in whole blocks
+	pieces    = 16  // segments that the bound allows
+	maxRecord = 68 << 10
+)
+
+// Owed is a message that still has no end.
+type Owed struct {
+	Message  *message.Message
+	Attempts int
+	MayRun   bool // an attempt may have run: At and Host tell of the earliest
+	At       time.Time
+	Host     string
+}
+
+// Notice is an end that the platform has still to be told.
+type Notice struct {
+	ID   string
+	Dead bool
+	Wait time.Duration // for one that is not dead: when to come back
+}
+
+// Stats counts what was found on opening.
+type Stats struct{ Broken int }
+
+type attempt struct {
+	num  int
+	at   time.Time
+	host string
+}
+
+// entry is what is owed for one message: its end, or the notice of it.
+type entry struct {
+	seq      uint64
+	msg      *message.Message
+	attempts int
+	open     []attempt // no outcome yet
+	mayRun   bool
+	ran      attempt // the earliest that may have run
+	notice   *Notice
+	home     *segment // holds the newest whole record of it
+}
+
+type segment struct {
+	num  int
+	path string
+	size int64
+	live int // entries at home here
+}
+
+func (s *segment) cost() int64 { return max(1, (s.size+block-1)/block) * block }
+
+// Ledger is an open folder.
+type Ledger struct {
+	dir      string
+	limit    int64
+	segMax   int64
+	log      *slog.Logger
+	entries  map[string]*entry
+	segments []*segment // oldest first; the last is written to
+	file     *os.File
+	foreign  int64 // files here that are not the ledger's
+	seq      uint64
+	ended    int // entries dropped since the last full pass of compaction
+	passing  bool
+	buf      []byte
+	stats    Stats
+}
+
+// Open reads the folder and starts a new segment. Broken records are logged, counted and skipped.
+func Open(dir string, limit int64, log *slog.Logger) (*Ledger, error) {
+	l := &Ledger{dir: dir, limit: limit, segMax: limit / pieces, log: log, entries: map[string]*entry{}}
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, fmt.Errorf("ledger: %w", err)
+	}
+	for _, f := range files {
+		if err := l.adopt(f); err != nil {
+			return nil, fmt.Errorf("ledger: %w", err)
+		}
+	}
+	slices.SortFunc(l.segments, func(a, b *segment) int { return cmp.Compare(a.num, b.num) })
+	for _, s := range l.segments {
+		if err := l.load(s); err != nil {
+			return nil, fmt.Errorf("ledger: %w", err)
+		}
+	}
+	l.dropDead()
+	if err := l.rotate(); err != nil {
+		return nil, err
+	}
+	l.compact()
+	return l, nil
+}
+
+func (l *Ledger) adopt(f os.DirEntry) error {
+	info, err := f.Info()
+	if err != nil {
+		return err
+	}
+	var num int
+	if n, err := fmt.Sscanf(f.Name(), "%08d.seg", &num); err != nil || n != 1 || !info.Mode().IsRegular() {
+		l.foreign += max(1, (info.Size()+block-1)/block) * block
+		return nil
+	}
+	l.segments = append(l.segments, &segment{num: num, path: filepath.Join(l.dir, f.Name()), size: info.Size()})
+	return nil
+}
+
+// load replays one segment.
+func (l *Ledger) load(s *segment) error {
+	text, err := os.ReadFile(s.path)
+	if err != nil {
+		return err
+	}
+	broken := scan(text, func(payload []byte) bool {
+		r, ok := decodeRecord(payload)
+		if ok {
+			l.apply(r, s)
+		}
+		return ok
+	})
+	if broken > 0 {
+		l.stats.Broken += broken
+		l.log.Warn("broken records in the ledger skipped", "segment", s.num, "count", broken)
+	}
+	return nil
+}
+
+// apply brings the state up to date with a record that stands in s.
+func (l *Ledger) apply(r record, s *segment) {
+	e := l.entries[r.id]
+	switch r.kind {
+	case kindKeep:
+		l.settle(r.id, e)
+		e = &entry{seq: r.seq, msg: r.msg, attempts: r.attempts, open: r.open, mayRun: r.mayRun, ran: r.ran, home: s}
+		l.seq = max(l.seq, r.seq)
+		l.entries[r.id] = e
+		s.live++
+	case kindNotice:
+		l.settle(r.id, e)
+		l.entries[r.id] = &entry{seq: r.seq, notice: &Notice{ID: r.id, Dead: r.dead, Wait: r.wait}, home: s}
+		l.seq = max(l.seq, r.seq)
+		s.live++
+	case kindCall:
+		for i, id := range r.ids {
+			if e := l.entries[id]; e != nil && e.notice == nil {
+				e.open = append(e.open, attempt{num: r.nums[i], at: r.ran.at, host: r.ran.host})
+				e.attempts = max(e.attempts, r.nums[i]+1)
+			}
+		}
+	case kindOutcome:
+		if e != nil {
+			e.outcome(r.attempts, r.mayRun)
+		}
+	case kindEnd:
+		for _, id := range r.ids {
+			l.settle(id, l.entries[id])
+		}
+	}
+}
+
+// settle drops an entry.
+func (l *Ledger) settle(id string, e *entry) {
+	if e != nil {
+		e.home.live--
+		delete(l.entries, id)
+		l.ended++
+	}
+}
+
+// outcome books how an attempt ended.
+func (e *entry) outcome(num int, mayRun bool) {
+	i := slices.IndexFunc(e.open, func(a attempt) bool { return a.num == num })
+	if i < 0 {
+		return
+	}
+	a := e.open[i]
+	e.open = slices.Delete(e.open, i, i+1)
+	if mayRun && (!e.mayRun || a.at.Before(e.ran.at)) {
+		e.mayRun, e.ran = true, a
+	}
+}
+
+// Stats tells what was found on opening.
+func (l *Ledger) Stats() Stats { return l.stats }
+
+// Owed returns the messages without an end, in the order in which they were taken on. An attempt without an
+// outcome counts as one that may have run.
+func (l *Ledger) Owed() []Owed {
+	var list []*entry
+	for _, e := range l.entries {
+		if e.notice == nil {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	out := make([]Owed, len(list))
+	for i, e := range list {
+		mayRun, ran := e.mayRun, e.ran
+		for _, a := range e.open {
+			if !mayRun || a.at.Before(ran.at) {
+				mayRun, ran = true, a
+			}
+		}
+		out[i] = Owed{Message: e.msg, Attempts: e.attempts, MayRun: mayRun, At: ran.at, Host: ran.host}
+	}
+	return out
+}
+
+// Notices returns the ends that the platform has not accepted yet, oldest first.
+func (l *Ledger) Notices() []Notice {
+	var list []*entry
+	for _, e := range l.entries {
+		if e.notice != nil {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	out := make([]Notice, len(list))
+	for i, e := range list {
+		out[i] = *e.notice
+	}
+	return out
+}
+
+// Take records a message taken on. ErrFull leaves nothing behind.
+func (l *Ledger) Take(m *message.Message) error {
+	reserve := 2 * max(l.segMax, maxRecord) // one segment to copy forward, one for what must still be recorded
+	need := int64(len(m.Body)) + 2*block + reserve
+	if l.used()+need > l.limit && l.ended > 0 {
+		l.compact()
+	}
+	if l.used()+need > l.limit {
+		return ErrFull
+	}
+	l.seq++
+	return l.write(record{kind: kindKeep, id: m.ID, seq: l.seq, msg: m})
+}
+
+// Call records that a call with these messages, each with the number of its attempt, is about to go out. Only
+// then may its bytes be written.
+func (l *Ledger) Call(ids []string, nums []int, host string, at time.Time) error {
+	return l.write(record{kind: kindCall, ids: ids, nums: nums, ran: attempt{at: at, host: host}})
+}
+
+// Outcome records how an attempt ended: whether it may have run.
+func (l *Ledger) Outcome(id string, num int, mayRun bool) error {
+	if l.entries[id] == nil {
+		return nil
+	}
+	return l.write(record{kind: kindOutcome, id: id, attempts: num, mayRun: mayRun})
+}
+
+// End records that nothing more is owed for a message: it is over, or the notice of its end was accepted.
+func (l *Ledger) End(ids ...string) error { return l.write(record{kind: kindEnd, ids: ids}) }
+
+// Tell records the end of a message of which the platform has to be told.
+func (l *Ledger) Tell(n Notice) error {
+	l.seq++
+	return l.write(record{kind: kindNotice, id: n.ID, seq: l.seq, dead: n.Dead, wait: n.Wait})
+}
+
+// Close closes the folder. What is owed stays in it.
+func (l *Ledger) Close() error { return l.file.Close() }
+
+// used is what the folder counts for.
+func (l *Ledger) used() int64 {
+	sum := l.foreign
+	for _, s := range l.segments {
+		sum += s.cost()
+	}
+	return sum
+}
+
+// write appends a record to the newest segment and brings the state up to date.
+func (l *Ledger) write(r record) error {
+	l.buf = appendRecord(l.buf[:0], r)
+	cur := l.segments[len(l.segments)-1]
+	if cur.size > 0 && cur.size+int64(len(l.buf)) > l.segMax {
+		if err := l.rotate(); err != nil {
+			return err
+		}
+		if !l.passing {
+			l.dropDead()
+			if l.used() > l.limit/2 {
+				l.compact()
+				l.buf = appendRecord(l.buf[:0], r)
+			}
+		}
+		cur = l.segments[len(l.segments)-1]
+	}
+	if l.used()+int64(len(l.buf))+block > l.limit {
+		return ErrFull
+	}
+	if _, err := l.file.Write(l.buf); err != nil {
+		if cut := l.file.Truncate(cur.size); cut != nil { // the rest of a record would be skipped as broken
+			err = errors.Join(err, cut)
+		}
+		return fmt.Errorf("ledger: %w", err)
+	}
+	cur.size += int64(len(l.buf))
+	l.apply(r, cur)
+	return nil
+}
+
+// rotate starts a new segment.
+func (l *Ledger) rotate() error {
+	num := 1
+	if n := len(l.segments); n > 0 {
+		num = l.segments[n-1].num + 1
+	}
+	path := filepath.Join(l.dir, fmt.Sprintf("%08d.seg", num))
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return fmt.Errorf("ledger: %w", err)
+	}
+	if l.file != nil {
+		l.file.Close()
+	}
+	l.file = f
+	l.segments = append(l.segments, &segment{num: num, path: path})
+	return nil
+}
+
+// dropDead removes the oldest segments as long as nothing in them is owed.
+func (l *Ledger) dropDead() {
+	for len(l.segments) > 1 && l.segments[0].live == 0 {
+		if !l.remove() {
+			return
+		}
+	}
+}
+
+func (l *Ledger) remove() bool {
+	if err := os.Remove(l.segments[0].path); err != nil {
+		l.log.Warn("a ledger segment could not be removed", "segment", l.segments[0].num, "err", err)
+		return false
+	}
+	l.segments = slices.Delete(l.segments, 0, 1)
+	return true
+}
+
+// compact copies what is owed out of the oldest segments while the folder is more than half full, each of the
+// present ones once at most. The folder stays within its bound, as Take leaves room for one segment more.
+func (l *Ledger) compact() {
+	l.passing, l.ended = true, 0
+	defer func() { l.passing, l.ended = false, 0 }()
+	for n := len(l.segments) - 1; n > 0 && l.used() > l.limit/2; n-- {
+		oldest := l.segments[0]
+		for _, e := range l.homeAt(oldest) {
+			if err := l.write(e.record()); err != nil {
+				l.log.Warn("the ledger could not be compacted", "segment", oldest.num, "err", err)
+				return
+			}
+		}
+		if !l.remove() {
+			return
+		}
+	}
+}
+
+// homeAt returns the entries whose newest whole record stands in s, in order.
+func (l *Ledger) homeAt(s *segment) []*entry {
+	var list []*entry
+	for _, e := range l.entries {
+		if e.home == s {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	return list
+}
+
+// record is an entry as one whole record.
+func (e *entry) record() record {
+	if e.notice != nil {
+		return record{kind: kindNotice, id: e.notice.ID, seq: e.seq, dead: e.notice.Dead, wait: e.notice.Wait}
+	}
+	return record{kind: kindKeep, id: e.msg.ID, seq: e.seq, msg: e.msg, attempts: e.attempts, open: e.open,
+		mayRun: e.mayRun, ran: e.ran}
+}
--- /dev/null
+++ b/internal/outbound/call.go
@@ -0,0 +1,135 @@
+package outbound
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"eiderhaven/internal/exchange"
+	"eiderhaven/internal/http1"
+	"eiderhaven/internal/message"
+	"eiderhaven/rules"
+)
+
+// This file is the form of calls and answers on the wire. It must never give an outcome that the answer does not
+// bear out: what cannot be read counts as what may have run.
+
+const (
+	maxAnswer = 64 << 10
+	maxKept   = 16 << 10 // a larger buffer is not kept for the next call
+)
+
+// appendCall encodes a call.
+func appendCall(buf []byte, call *exchange.Call) []byte {
+	fields := http1.Header{{Name: "Host", Value: call.Dial},
+		{Name: "Req-Deadline-Ms", Value: strconv.FormatInt(max(1, call.Waiting.Milliseconds()), 10)}}
+	if len(call.Items) == 1 {
+		m := call.Items[0]
+		fields = append(fields, http1.Field{Name: "Req-Id", Value: m.ID})
+		return http1.AppendRequest(buf, "POST", "/receive", fields, m.Body)
+	}
+	return http1.AppendRequest(buf, "POST", "/receive-many", fields, frames(call.Items))
+}
+
+// frames is the body of a call with several messages: for each a line that names it and tells its length, then
+// its bytes.
+func frames(list []*message.Message) []byte {
+	var body []byte
+	for _, m := range list {
+		body = append(body, m.ID...)
+		body = append(body, " - "...)
+		body = strconv.AppendInt(body, int64(len(m.Body)), 10)
+		body = append(body, "\r\n"...)
+		body = append(body, m.Body...)
+		body = append(body, "\r\n"...)
+	}
+	return body
+}
+
+// same gives every message of a call the same result.
+func same(call *exchange.Call, r exchange.ItemResult) []exchange.ItemResult {
+	out := make([]exchange.ItemResult, len(call.Items))
+	for i := range out {
+		out[i] = r
+	}
+	return out
+}
+
+// outcomes reads an answer. lost is the outcome where none came: it may have run.
+func outcomes(call *exchange.Call, resp *http1.Response, err error, lost rules.Outcome) []exchange.ItemResult {
+	if resp == nil || err != nil && len(call.Items) > 1 {
+		return same(call, exchange.ItemResult{Outcome: lost})
+	}
+	r := exchange.ItemResult{Wait: told(resp.Header), Report: report(resp.Header)}
+	switch resp.Status {
+	case 200:
+		if len(call.Items) > 1 {
+			return each(call, string(resp.Body), r)
+		}
+		r.Outcome = rules.OK
+	case 429:
+		r.Outcome = rules.Full
+	case 503:
+		r.Outcome = rules.Full
+		if resp.Header.Get("Slots-Taken") == "1" {
+			r.Outcome, r.NoSlot = rules.NotSent, true
+		}
+	case 504:
+		r.Outcome = rules.NotSent
+	case 410:
+		r.Outcome, r.Over = rules.NotSent, true
+	default:
+		r.Outcome = rules.Errored
+		if len(call.Items) > 1 && (resp.Status == 400 || resp.Status == 413) {
+			r.Outcome = rules.NotSent
+		}
+	}
+	return same(call, r)
+}
+
+// each reads the answer to a call with several messages: a line each. One without a line may have run.
+func each(call *exchange.Call, body string, common exchange.ItemResult) []exchange.ItemResult {
+	ends := map[string]string{}
+	for line := range strings.Lines(body) {
+		if words := strings.Fields(line); len(words) == 2 {
+			ends[words[0]] = words[1]
+		}
+	}
+	out := same(call, common)
+	for i, m := range call.Items {
+		switch ends[m.ID] {
+		case "accepted":
+			out[i].Outcome = rules.OK
+		case "fault":
+			out[i].Outcome = rules.Errored
+		case "deferred":
+			out[i].Outcome = rules.Full
+		case "expired":
+			out[i].Outcome, out[i].Over = rules.NotSent, true
+		case "no_more":
+			out[i].Outcome = rules.NotSent
+		default:
+			out[i].Outcome = rules.Reset
+		}
+	}
+	return out
+}
+
+// told is the wait that an answer asks for, 0 if none.
+func told(h http1.Header) time.Duration {
+	ms, err := strconv.ParseFloat(h.Get("Wait-Ms"), 64)
+	if err != nil || !(ms > 0) {
+		return 0
+	}
+	return time.Duration(min(ms, float64(time.Hour/time.Millisecond)) * float64(time.Millisecond))
+}
+
+// report is what an answer tells of the destination's limit.
+func report(h http1.Header) rules.Report {
+	var fields map[string]float64
+	if text := h.Get("Srv-Load"); text == "" || json.Unmarshal([]byte(text), &fields) != nil {
+		return rules.Report{}
+	}
+	return rules.Report{Left: fields["x0"], Limit: fields["x1"]}
+}
--- /dev/null
+++ b/internal/outbound/outbound.go
@@ -0,0 +1,266 @@
+// Package outbound is the endpoint side: it makes the calls that the exchange hands out, over connections that it
+// keeps while they are worth keeping. It owns those connections, one goroutine each, and the calls' form on the
+// wire (call.go). It must never send a call twice, choose an endpoint, or wait longer than it is told.
+package outbound
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"eiderhaven/internal/exchange"
+	"eiderhaven/internal/http1"
+	"eiderhaven/rules"
+)
+
+// Config is what a pool starts from.
+type Config struct {
+	ConnectTimeout time.Duration
+	KeepAlive      time.Duration // the endpoints' side closes idle connections after this
+	MaxConns       int
+	Finish         func(*exchange.Call, exchange.Result)
+}
+
+// Pool makes calls.
+type Pool struct {
+	cfg  Config
+	mu   sync.Mutex
+	idle map[string][]*conn // by address, the last used last
+	open int                // connections and attempts at one
+	shut bool
+	wg   sync.WaitGroup
+}
+
+// New returns a pool without connections.
+func New(cfg Config) *Pool { return &Pool{cfg: cfg, idle: map[string][]*conn{}} }
+
+// conn is one connection. Its goroutine reads while it is idle, so that it sees the other side close it; a call is
+// handed to it through next, by making that read time out.
+type conn struct {
+	nc    net.Conn
+	br    *bufio.Reader
+	buf   []byte
+	since time.Time // idle since
+	next  *job      // guarded by the pool's lock
+}
+
+// job is a call with what is needed to give it up.
+type job struct {
+	call   *exchange.Call
+	mu     sync.Mutex
+	given  bool // up
+	nc     net.Conn
+	undial context.CancelFunc
+}
+
+// longAgo as a deadline ends a blocked read or write at once.
+var longAgo = time.Unix(1, 0)
+
+// Cancel gives the call up, wherever it is.
+func (j *job) Cancel() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.given = true
+	if j.undial != nil {
+		j.undial()
+	}
+	if j.nc != nil {
+		j.nc.SetDeadline(longAgo)
+	}
+}
+
+// attach lets Cancel reach the connection; it is false if the call has been given up before.
+func (j *job) attach(nc net.Conn, undial context.CancelFunc) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.nc, j.undial = nc, undial
+	return !j.given
+}
+
+func (j *job) givenUp() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.given
+}
+
+// Start makes a call on the connection used last, or on a new one. It does not wait.
+func (p *Pool) Start(call *exchange.Call) exchange.Handle {
+	j := &job{call: call}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.pop(call.Dial); c != nil {
+		c.next = j
+		c.nc.SetReadDeadline(longAgo)
+		return j
+	}
+	if p.open >= p.cfg.MaxConns {
+		p.closeOldest()
+	}
+	p.open++
+	p.wg.Go(func() { p.run(j) })
+	return j
+}
+
+// pop takes the idle connection to an address that was used last. Call it with the lock held.
+func (p *Pool) pop(dial string) *conn {
+	list := p.idle[dial]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.drop(dial, c)
+	return c
+}
+
+func (p *Pool) drop(dial string, c *conn) {
+	list := p.idle[dial]
+	if i := slices.Index(list, c); i >= 0 {
+		list = slices.Delete(list, i, i+1)
+	}
+	if p.idle[dial] = list; len(list) == 0 {
+		delete(p.idle, dial)
+	}
+}
+
+// closeOldest makes room by the connection that has been idle longest. Call it with the lock held.
+func (p *Pool) closeOldest() {
+	var dial string
+	var oldest *conn
+	for d, list := range p.idle {
+		if oldest == nil || list[0].since.Before(oldest.since) {
+			dial, oldest = d, list[0]
+		}
+	}
+	if oldest != nil {
+		p.drop(dial, oldest)
+		oldest.nc.SetReadDeadline(longAgo)
+	}
+}
+
+// CloseIdle closes the idle connections to an address.
+func (p *Pool) CloseIdle(dial string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := p.pop(dial); c != nil; c = p.pop(dial) {
+		c.nc.SetReadDeadline(longAgo)
+	}
+}
+
+// Close closes all idle connections and waits for the calls that are out, which the caller has given up.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.shut = true
+	for _, list := range p.idle {
+		for _, c := range list {
+			c.nc.SetReadDeadline(longAgo)
+		}
+	}
+	clear(p.idle)
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
+// run is the life of one connection: it makes calls as long as they come and the connection lasts.
+func (p *Pool) run(j *job) {
+	defer func() {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+	}()
+	var c *conn
+	for j != nil {
+		if c == nil {
+			if c = p.connect(j); c == nil {
+				return
+			}
+		}
+		dial := j.call.Dial
+		if !p.do(c, j) {
+			c.nc.Close()
+			return
+		}
+		var sound bool
+		if j, sound = p.park(c, dial); !sound {
+			c.nc.Close()
+			c = nil // nothing of the next call was written yet: it gets a fresh one
+		}
+	}
+}
+
+// connect opens a connection for a call; where it cannot, the call ends here.
+func (p *Pool) connect(j *job) *conn {
+	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.ConnectTimeout)
+	defer cancel()
+	j.attach(nil, cancel)
+	if j.givenUp() {
+		cancel()
+	}
+	d := net.Dialer{KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", j.call.Dial)
+	if err != nil {
+		p.finish(j, rules.ConnectError)
+		return nil
+	}
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, 2048)}
+}
+
+// finish ends a call of which nothing reached the endpoint.
+func (p *Pool) finish(j *job, o rules.Outcome) {
+	if j.givenUp() {
+		o = rules.Cancelled
+	}
+	p.cfg.Finish(j.call, exchange.Result{Items: same(j.call, exchange.ItemResult{Outcome: o})})
+}
+
+// park keeps a connection while it is idle. It returns the next call, nil if the connection is to be closed, and
+// whether the connection can still be used for it.
+func (p *Pool) park(c *conn, dial string) (next *job, sound bool) {
+	c.since = time.Now()
+	c.nc.SetReadDeadline(c.since.Add(p.cfg.KeepAlive - p.cfg.KeepAlive/10)) // before the other side does
+	p.mu.Lock()
+	if p.shut || p.open > p.cfg.MaxConns {
+		p.mu.Unlock()
+		return nil, false
+	}
+	p.idle[dial] = append(p.idle[dial], c)
+	p.mu.Unlock()
+	_, err := c.br.Peek(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if next, c.next = c.next, nil; next == nil {
+		p.drop(dial, c)
+		return nil, false
+	}
+	return next, errors.Is(err, os.ErrDeadlineExceeded) && time.Since(c.since) < p.cfg.KeepAlive
+}
+
+// do makes one call and hands in its result. It tells whether the connection can be used again.
+func (p *Pool) do(c *conn, j *job) bool {
+	c.nc.SetDeadline(time.Time{})
+	if !j.attach(c.nc, nil) {
+		p.finish(j, rules.Cancelled)
+		return true
+	}
+	c.buf = appendCall(c.buf[:0], j.call)
+	if _, err := c.nc.Write(c.buf); err != nil {
+		j.attach(nil, nil)
+		p.finish(j, rules.ConnectError)
+		return false
+	}
+	resp, err := http1.ReadResponse(c.br, maxAnswer)
+	j.attach(nil, nil)
+	lost := rules.Reset
+	if j.givenUp() {
+		lost = rules.Cancelled
+	}
+	p.cfg.Finish(j.call, exchange.Result{Written: true, Items: outcomes(j.call, resp, err, lost)})
+	if cap(c.buf) > maxKept {
+		c.buf = nil
+	}
+	return err == nil && !resp.Close && c.br.Buffered() == 0
+}
--- /dev/null
+++ b/internal/registry/notices.go
@@ -0,0 +1,133 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"eiderhaven/internal/ledger"
+)
+
+// Notices delivers notices to the platform, several at once where they queue up, until each was accepted.
+type Notices struct {
+	log     *slog.Logger
+	client  client
+	mu      sync.Mutex
+	queue   []ledger.Notice
+	more    chan struct{}
+	Failed  atomic.Int64
+	batch   int
+	sending int
+}
+
+const (
+	noticeLimit = time.Second
+	maxBatch    = 200
+)
+
+// NewNotices returns a queue that has not started.
+func NewNotices(addr string, log *slog.Logger) *Notices {
+	return &Notices{log: log, client: client{addr: addr}, more: make(chan struct{}, 1), batch: maxBatch}
+}
+
+// Tell queues a notice. It does not wait.
+func (n *Notices) Tell(one ledger.Notice) {
+	n.mu.Lock()
+	n.queue = append(n.queue, one)
+	n.mu.Unlock()
+	select {
+	case n.more <- struct{}{}:
+	default:
+	}
+}
+
+// Pending is the number of notices not accepted yet.
+func (n *Notices) Pending() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.queue) + n.sending
+}
+
+// Run delivers until the context ends.
+func (n *Notices) Run(ctx context.Context, sink Sink) {
+	defer n.client.close()
+	pause := firstPause
+	for ctx.Err() == nil {
+		list := n.cut()
+		if len(list) == 0 {
+			select {
+			case <-ctx.Done():
+			case <-n.more:
+			}
+			continue
+		}
+		if n.post(ctx, list, sink) {
+			pause = firstPause
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// cut takes the next batch off the queue.
+func (n *Notices) cut() []ledger.Notice {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	k := min(len(n.queue), n.batch)
+	list := append([]ledger.Notice(nil), n.queue[:k]...)
+	n.queue = n.queue[:copy(n.queue, n.queue[k:])]
+	n.sending = k
+	return list
+}
+
+// post delivers one batch. One that was not accepted goes back to the end of the queue; where the platform could
+// not read it, notices go one by one from then on, so that a bad one does not hold up the others.
+func (n *Notices) post(ctx context.Context, list []ledger.Notice, sink Sink) bool {
+	resp, err := n.client.do(ctx, noticeLimit, "POST", "/status", encode(list))
+	if err == nil && resp.Status == 204 {
+		ids := make([]string, len(list))
+		for i, one := range list {
+			ids[i] = one.ID
+		}
+		sink.Noticed(ids)
+		n.mu.Lock()
+		n.sending = 0
+		n.mu.Unlock()
+		return true
+	}
+	if n.Failed.Add(1) == 1 {
+		n.log.Warn("a notice was not accepted; further failures are only counted", "err", err)
+	}
+	n.mu.Lock()
+	n.queue, n.sending = append(n.queue, list...), 0
+	if err == nil && resp.Status == 400 {
+		n.batch = 1
+	}
+	n.mu.Unlock()
+	return false
+}
+
+// encode gives each notice its line.
+func encode(list []ledger.Notice) []byte {
+	var body []byte
+	for _, one := range list {
+		line := struct {
+			Ref    string `json:"ref"`
+			Result string `json:"result"`
+			Wait   int64  `json:"wait_ms,omitempty"`
+		}{one.ID, "bounced", one.Wait.Milliseconds()}
+		if one.Dead {
+			line.Result, line.Wait = "dead", 0
+		}
+		text, _ := json.Marshal(line) // a struct of strings and a number always encodes
+		body = append(append(body, text...), '\n')
+	}
+	return body
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -11,6 +11,7 @@
 	"io"
 	"time"
 
+	"eiderhaven/internal/settings"
 	"eiderhaven/rules"
 )
 
@@ -141,11 +142,11 @@
 	item = Item{Instance: int(*f.Sender), Line: d.line}
 	switch verb {
 	case "power_on":
-		settings, err := decodeSettings(f.Env, *f.Nonce)
+		set, _, err := settings.Decode(f.Env, *f.Nonce)
 		if err != nil {
 			return Item{}, false, d.errorf("power_on: env: %v", err)
 		}
-		item.Start = settings
+		item.Start = set
 	case "crash_now":
 		item.Stop = true
 	default:
--- a/rules/api.go
+++ b/rules/api.go
@@ -138,6 +138,16 @@
 	OrderKey    string
 	TimeLeft    time.Duration
 	Estimate    time.Duration // rough cost of the call, 0 for none given
+	Before      Before
+}
+
+// Before is what became of a message before this sender started, for one that an earlier process of the same
+// sender had taken and still owes its end. The zero value is a new message.
+type Before struct {
+	Attempts int           // made so far
+	MayRun   bool          // one of them may have run
+	Ago      time.Duration // how long ago the earliest such attempt was made
+	At       EndpointID    // where, as far as it is still listed
 }
 
 // Withdrawn tells that nobody wants the message any more.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -251,11 +251,11 @@
 
 // keyHolds tells whether a keyed message may go to ep: inside window and scope of what may have run.
 func (s *Sender) keyHolds(m *message, ep *endpoint) bool {
-	at := m.mayRunAt
-	if at == nil {
+	at, scope := m.mayRunAt, m.class.Scope // at is nil if a process before this one sent it and it is unlisted
+	if m.mayRun == never {
 		return true
 	}
-	inScope := m.class.Scope == ScopeDestination || at == ep || m.class.Scope == ScopeZone && at.zone == ep.zone
+	inScope := scope == ScopeDestination || at == ep || scope == ScopeZone && at != nil && at.zone == ep.zone
 	return inScope && s.now+s.set.Tick < m.mayRun+m.class.Window
 }
 
@@ -308,7 +308,7 @@
 // attemptEnded takes an outcome: for its endpoint once a call, for the message always. A wait binds whoever
 // it was told to, also by the later outcomes of one call.
 func (s *Sender) attemptEnded(e Ended) {
-	if ep := s.endpoints[e.Endpoint]; ep != nil && e.Outcome == Full && e.Wait > 0 {
+	if ep := s.endpoints[e.Endpoint]; ep != nil && e.Wait > 0 {
 		ep.lane.pace.onWait(s.now + e.Wait)
 	}
 	a := s.close(e)
--- a/rules/state.go
+++ b/rules/state.go
@@ -189,7 +189,10 @@
 // take accepts a message; from here on one final answer is owed.
 func (s *Sender) take(e Arrived) {
 	m := &message{id: e.ID, dest: s.destination(e.Destination), class: &s.set.Classes[e.Class], tenant: e.Tenant,
-		deadline: s.now + e.TimeLeft, mayRun: never}
+		deadline: s.now + e.TimeLeft, tries: e.Before.Attempts, mayRun: never}
+	if e.Before.MayRun {
+		m.mayRun, m.mayRunAt = s.now-e.Before.Ago, s.endpoints[e.Before.At]
+	}
 	if m.class.KeepOrder && e.OrderKey != "" {
 		if m.order = s.turns[e.OrderKey]; m.order == nil {
 			m.order = &turn{}
