--- /dev/null
+++ b/cmd/eiderhaven/main_test.go
@@ -0,0 +1,339 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"eiderhaven/example/toy"
+	"eiderhaven/internal/http1"
+)
+
+// TestMain lets the test binary be the sender itself, so that processes can be killed.
+func TestMain(m *testing.M) {
+	if os.Getenv("EIDERHAVEN_TEST_PROCESS") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// place is what surrounds one sender: discovery, an endpoint for destination 7, and a folder that lasts.
+type place struct {
+	t      *testing.T
+	disc   *toy.Discovery
+	ep     *toy.Endpoint
+	listen string
+	state  string
+	config string
+}
+
+func newPlace(t *testing.T, answer func(id string, call int) *http1.Response) *place {
+	t.Helper()
+	ep, err := toy.NewEndpoint("127.0.0.1:0", answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	disc, err := toy.NewDiscovery("127.0.0.1:0", toy.Entry{Host: "s-1", Dial: ep.Addr(), Site: "here", Class: "any", Block: 7,
+		Health: "Ready"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ep.Close(); disc.Close() })
+	p := &place{t: t, disc: disc, ep: ep, state: t.TempDir(), config: filepath.Join(t.TempDir(), "config.json")}
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.listen = ln.Addr().String()
+	ln.Close()
+	text, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var c map[string]any
+	if err := json.Unmarshal(text, &c); err != nil {
+		t.Fatal(err)
+	}
+	c["listen"], c["discovery"], c["known"] = p.listen, disc.Addr(), json.RawMessage(disc.List())
+	text, err = json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(p.config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// process is a running sender.
+type process struct {
+	*exec.Cmd
+	t    *testing.T
+	mu   sync.Mutex
+	log  bytes.Buffer
+	done chan error
+}
+
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func (p *process) said() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// launch starts a sender and waits until it is ready.
+func (p *place) launch() *process {
+	p.t.Helper()
+	proc := &process{Cmd: exec.Command(os.Args[0]), t: p.t, done: make(chan error, 1)}
+	proc.Env = append(os.Environ(), "EIDERHAVEN_TEST_PROCESS=1", "LB_CONFIG="+p.config, "LB_STATE="+p.state)
+	proc.Stderr = proc
+	if err := proc.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	go func() { proc.done <- proc.Wait() }()
+	p.t.Cleanup(func() { proc.Process.Kill() })
+	eventually(p.t, "ready", func() bool {
+		r, err := p.ask("GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n")
+		return err == nil && r.Status == 200
+	})
+	return proc
+}
+
+// exit waits for the end of the process and returns its code.
+func (p *process) exit() int {
+	p.t.Helper()
+	select {
+	case err := <-p.done:
+		var failed *exec.ExitError
+		if errors.As(err, &failed) {
+			return failed.ExitCode()
+		}
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		return 0
+	case <-time.After(30 * time.Second):
+		p.t.Fatal("the sender does not end")
+		return 0
+	}
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !f(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never %s", what)
+		}
+	}
+}
+
+// ask makes one request on a connection of its own.
+func (p *place) ask(text string) (*http1.Response, error) {
+	nc, err := net.Dial("tcp", p.listen)
+	if err != nil {
+		return nil, err
+	}
+	defer nc.Close()
+	if _, err := io.WriteString(nc, text); err != nil {
+		return nil, err
+	}
+	return http1.ReadResponse(bufio.NewReader(nc), 1<<16)
+}
+
+func (p *place) handIn(id, class string, ms int) {
+	p.t.Helper()
+	r, err := p.ask(fmt.Sprintf("POST /%s HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Deadline-Ms: %d\r\nEnvelope: dest=7\r\n"+
+		"Content-Length: 2\r\n\r\nhi", class, id, class, ms))
+	if err != nil || r.Status != 202 {
+		p.t.Fatalf("handing in %s: %+v, %v", id, r, err)
+	}
+}
+
+func (p *place) notice(id string) string {
+	for _, line := range p.disc.Notices() {
+		if strings.Contains(line, `"`+id+`"`) {
+			return line
+		}
+	}
+	return ""
+}
+
+func (p *place) calls(id string) int {
+	return strings.Count(" "+strings.Join(p.ep.Received(), "  ")+" ", " "+id+" ")
+}
+
+func TestDelivers(t *testing.T) {
+	p := newPlace(t, nil)
+	proc := p.launch()
+	p.handIn("a", "stock", 16000)
+	p.handIn("b", "payment", 16000)
+	eventually(t, "delivered", func() bool { return p.calls("a") == 1 && p.calls("b") == 1 })
+	eventually(t, "counted", func() bool {
+		proc.Process.Signal(syscall.SIGUSR1)
+		return strings.Contains(proc.said(), "delivered=2") && strings.Contains(proc.said(), "taken=2")
+	})
+	if strings.Contains(proc.said(), "phase is=draining") {
+		t.Error("SIGUSR1 ends the sender")
+	}
+}
+
+// Killed with calls out, the sender comes back with what it owes: a repeatable message is sent again, one that must
+// not run twice ends as dead, one out of time is bounced.
+func TestKilledAndRestarted(t *testing.T) {
+	release := make(chan struct{})
+	var once sync.Once
+	free := func() { once.Do(func() { close(release) }) }
+	p := newPlace(t, func(string, int) *http1.Response {
+		<-release
+		return &http1.Response{Status: 200}
+	})
+	defer free()
+	proc := p.launch()
+	p.handIn("safe", "stock", 16000)
+	p.handIn("once", "payment", 16000)
+	p.handIn("late", "stock", 300)
+	given := time.Now()
+	eventually(t, "out", func() bool { return p.calls("safe") == 1 && p.calls("once") == 1 && p.calls("late") == 1 })
+	proc.Process.Kill()
+	proc.exit()
+	eventually(t, "out of time", func() bool { return time.Since(given) > 300*time.Millisecond })
+	free()
+	p.launch()
+	eventually(t, "told", func() bool {
+		return p.notice("once") != "" && p.notice("late") != "" || p.notice("late") == "" && p.notice("once") != ""
+	})
+	if n := p.notice("once"); !strings.Contains(n, `"dead"`) {
+		t.Errorf("notice %s, want dead", n)
+	}
+	eventually(t, "sent again", func() bool { return p.calls("safe") == 2 })
+	if n := p.calls("once"); n != 1 {
+		t.Errorf("an at-most-once message was sent %d times", n)
+	}
+}
+
+// Told to end, the sender goes on taking and delivering, exits with 0 in time, and leaves the rest in the folder.
+func TestPlannedRestart(t *testing.T) {
+	gate := make(chan int, 1)
+	gate <- 503
+	p := newPlace(t, func(id string, _ int) *http1.Response {
+		status := <-gate
+		gate <- status
+		return &http1.Response{Status: status}
+	})
+	proc := p.launch()
+	p.handIn("before", "stock", 60000)
+	nc, err := net.Dial("tcp", p.listen) // keeps the sender from ending early
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	told := time.Now()
+	proc.Process.Signal(syscall.SIGTERM)
+	eventually(t, "draining", func() bool { return strings.Contains(proc.said(), "is=draining") })
+	p.handIn("during", "stock", 60000)
+	if code := proc.exit(); code != 0 {
+		t.Errorf("exit code %d\n%s", code, proc.said())
+	}
+	if took := time.Since(told); took > 3700*time.Millisecond {
+		t.Errorf("the exit took %v, the platform kills after 3.7 s", took)
+	}
+	if said := proc.said(); !strings.Contains(said, "held=2") || !strings.Contains(said, "is=stopped") {
+		t.Errorf("the last words: %s", said)
+	}
+	<-gate
+	gate <- 200
+	p.launch()
+	delivered := map[string]int{"before": p.calls("before"), "during": p.calls("during")}
+	eventually(t, "delivered after the restart", func() bool {
+		return p.calls("before") > delivered["before"] && p.calls("during") > delivered["during"]
+	})
+}
+
+// With nothing held and nobody connected, a sender told to end does not wait out its time.
+func TestIdleSenderEndsSoon(t *testing.T) {
+	p := newPlace(t, nil)
+	proc := p.launch()
+	told := time.Now()
+	proc.Process.Signal(syscall.SIGTERM)
+	if code := proc.exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	if took := time.Since(told); took >= drainFor {
+		t.Errorf("the exit took %v", took)
+	}
+}
+
+func TestBadConfig(t *testing.T) {
+	text, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(text)
+	for name, change := range map[string][2]string{
+		"not JSON":        {"{", "["},
+		"bad listen":      {"127.0.0.1:9000", "nowhere"},
+		"bad seed":        {"8c1f30d27a5be964", "xyz"},
+		"no limits":       {`"sockets": 1024`, `"sockets": 0`},
+		"no disk":         {`"disk_mb": 3`, `"disk_mb": 0`},
+		"bad list":        {`"hosts": []`, `"hosts": [{}]`},
+		"no list":         {`"known"`, `"unknown"`},
+		"no classes":      {`"request_classes"`, `"classes"`},
+		"unknown effect":  {`"idempotent"`, `"sometimes"`},
+		"no slots":        {`"slots": 10`, `"slots": 0`},
+		"state not there": {"", ""},
+	} {
+		dir := t.TempDir()
+		path := filepath.Join(dir, "config.json")
+		bad := strings.Replace(good, change[0], change[1], 1)
+		if bad == good && name != "state not there" {
+			t.Fatalf("%s: nothing to change", name)
+		}
+		if err := os.WriteFile(path, []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		state := dir
+		if name == "state not there" {
+			state = filepath.Join(dir, "none")
+		}
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "EIDERHAVEN_TEST_PROCESS=1", "LB_CONFIG="+path, "LB_STATE="+state)
+		var stderr bytes.Buffer
+		cmd.Stderr = &stderr
+		var failed *exec.ExitError
+		if err := cmd.Run(); !errors.As(err, &failed) || failed.ExitCode() == 0 {
+			t.Errorf("%s: ended with %v", name, err)
+		}
+		if out := stderr.String(); strings.Count(out, "\n") != 1 || !strings.HasPrefix(out, "eiderhaven: ") {
+			t.Errorf("%s: stderr %q, want one line", name, out)
+		}
+	}
+}
+
+func TestEnvironmentWins(t *testing.T) {
+	env := map[string]string{"LB_CONFIG": "../../example/config.json", "LB_STATE": "x", "LB_NAME": "other", "LB_LISTEN": "127.0.0.1:1"}
+	c, err := loadConfig(func(name string) string { return env[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.name != "other" || c.listen != "127.0.0.1:1" || c.discovery != "127.0.0.1:8500" || c.state != "x" {
+		t.Errorf("got %+v", c)
+	}
+}
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,536 @@
+package exchange
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhaven/internal/ledger"
+	"eiderhaven/internal/message"
+	"eiderhaven/rules"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// endpoints is the endpoint side as a script: it keeps what is started and lets the test end it.
+type endpoints struct {
+	started   chan *Call
+	cancelled chan *Call
+	closed    chan string
+	onStart   func(*Call)
+}
+
+type handle struct {
+	c    *Call
+	side *endpoints
+}
+
+func (h handle) Cancel() { h.side.cancelled <- h.c }
+
+func (e *endpoints) Start(c *Call) Handle {
+	if e.onStart != nil {
+		e.onStart(c)
+	}
+	e.started <- c
+	return handle{c, e}
+}
+
+func (e *endpoints) CloseIdle(dial string) { e.closed <- dial }
+
+// notices keeps what the platform is told.
+type notices struct{ told chan ledger.Notice }
+
+func (n *notices) Tell(one ledger.Notice) { n.told <- one }
+func (n *notices) Watch()                 {}
+
+// world is an exchange with scripted surroundings.
+type world struct {
+	*Exchange
+	t     *testing.T
+	dir   string
+	led   *ledger.Ledger
+	ends  *endpoints
+	plat  *notices
+	ended bool
+}
+
+func testSettings() *rules.Settings {
+	return &rules.Settings{
+		Seed: 7, Senders: 2, Tick: time.Millisecond, Slots: 10, MaxHeld: 100, MaxAttempts: 4,
+		ConnectTimeout: time.Second, KeepAlive: 10 * time.Second, MaxRetryAfter: 3 * time.Second, MayAdvise: true,
+		MayCancel: true, AnswerGrace: 20 * time.Millisecond, DrainGrace: time.Second, ColdShare: 0.2,
+		WarmUp: 10 * time.Second, FallWindow: 2 * time.Second, OverloadFactor: 2, LateHalving: true,
+		Kinds: []rules.Kind{{Batch: 1}, {Batch: 3}},
+		Classes: []rules.Class{
+			{Effect: rules.Safe, Aim: 2 * time.Second, Deadline: 16 * time.Second, Worth: 1, LateWorth: 0.4},
+			{Effect: rules.AtMostOnce, Aim: 2 * time.Second, Deadline: 16 * time.Second, Worth: 1, LateWorth: 0.4},
+		},
+	}
+}
+
+var known = Listing{Whole: true, Hosts: []Host{
+	{Name: "s-1", Dial: "127.0.0.1:1001", Dest: 1},
+	{Name: "s-2", Dial: "127.0.0.1:1002", Dest: 2, Kind: 1},
+}}
+
+// newWorld starts an exchange on a folder.
+func newWorld(t *testing.T, dir string, change func(*rules.Settings)) *world {
+	t.Helper()
+	set := testSettings()
+	if change != nil {
+		change(set)
+	}
+	led, err := ledger.Open(dir, 2<<20, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{t: t, dir: dir, led: led,
+		ends: &endpoints{started: make(chan *Call, 200), cancelled: make(chan *Call, 200), closed: make(chan string, 200)},
+		plat: &notices{make(chan ledger.Notice, 200)}}
+	w.Exchange = New(Config{Settings: set, Classes: []string{"stock", "payment"}, Known: known, Ledger: led,
+		Caller: w.ends, Platform: w.plat, Log: quiet})
+	return w
+}
+
+func (w *world) start() *world {
+	w.Recover()
+	go w.Run()
+	w.t.Cleanup(w.end)
+	return w
+}
+
+// end stops the exchange as a planned exit does.
+func (w *world) end() {
+	if !w.ended {
+		w.ended = true
+		w.Stop()
+		w.led.Close()
+	}
+}
+
+func begin(t *testing.T, change func(*rules.Settings)) *world {
+	return newWorld(t, t.TempDir(), change).start()
+}
+
+func next[T any](t *testing.T, c <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(20 * time.Second):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+func msg(id, class string, dest int) *message.Message {
+	return &message.Message{ID: id, Class: class, Dest: dest, Deadline: time.Now().Add(16 * time.Second), Body: []byte("hi")}
+}
+
+// take hands in a message that must be taken on.
+func (w *world) take(m *message.Message) {
+	w.t.Helper()
+	if a := w.Submit(m); a.Verdict != Taken {
+		w.t.Fatalf("message %s: verdict %v, want taken", m.ID, a.Verdict)
+	}
+}
+
+func (w *world) finish(c *Call, o rules.Outcome) {
+	items := make([]ItemResult, len(c.Items))
+	for i := range items {
+		items[i].Outcome = o
+	}
+	w.Finish(c, Result{Written: true, Items: items})
+}
+
+// settled waits until the counters say so, and checks their sums.
+func (w *world) settled(what string, done func(Counts) bool) Counts {
+	w.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; {
+		c := w.Counts()
+		w.addUp(c)
+		if done(c) {
+			return c
+		}
+		if time.Now().After(end) {
+			w.t.Fatalf("never %s: %+v", what, c)
+		}
+	}
+}
+
+func (w *world) addUp(c Counts) {
+	w.t.Helper()
+	fresh := c.In - (c.Unknown + c.Duplicate + c.Refused + c.Failed + c.Taken) // being taken in just now
+	if fresh < 0 || c.Taken+c.Recovered+fresh != c.Delivered+c.Bounced+c.Dead+c.Withdrawn+c.Elsewhere+c.Held {
+		w.t.Errorf("messages do not add up: %+v", c)
+	}
+	sum := c.Out
+	for _, n := range c.Outcomes {
+		sum += n
+	}
+	if c.Attempts != sum {
+		w.t.Errorf("attempts do not add up: %+v", c)
+	}
+}
+
+// owed is what another process would find in the folder now.
+func (w *world) owed() []ledger.Owed {
+	w.t.Helper()
+	l, err := ledger.Open(w.dir, 2<<20, quiet)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Owed()
+}
+
+// The record stands before the client hears 202 and before a call starts, which is recorded first too.
+func TestRecordsComeFirst(t *testing.T) {
+	w := newWorld(t, t.TempDir(), nil)
+	var atStart []ledger.Owed
+	w.ends.onStart = func(*Call) { atStart = w.owed() }
+	w.start()
+	w.take(msg("a", "stock", 1))
+	c := next(t, w.ends.started, "call")
+	if c.Dial != "127.0.0.1:1001" || len(c.Items) != 1 || c.Items[0].ID != "a" {
+		t.Errorf("call: %+v", c)
+	}
+	if len(atStart) != 1 || !atStart[0].MayRun || atStart[0].Host != "s-1" || atStart[0].Attempts != 1 {
+		t.Errorf("in the folder as the call starts: %+v", atStart)
+	}
+	w.finish(c, rules.OK)
+	w.settled("delivered", func(c Counts) bool { return c.Delivered == 1 && c.Held == 0 })
+	if got := w.owed(); len(got) != 0 {
+		t.Errorf("owed after the delivery: %+v", got)
+	}
+}
+
+// What the module refuses in the step that took it in is refused in the answer, with when to come back, and
+// nothing is owed.
+func TestRefusedAtOnce(t *testing.T) {
+	w := begin(t, func(s *rules.Settings) { s.MaxHeld = 16 })
+	refused := 0
+	for i := range 30 { // all for one destination, none answered: its backlog fills the room
+		a := w.Submit(msg(fmt.Sprint("m", i), "stock", 1))
+		if a.Verdict != Refused {
+			continue
+		}
+		refused++
+		if a.RetryAfter <= 0 {
+			t.Error("a refusal does not say when to come back")
+		}
+	}
+	c := w.Counts()
+	w.addUp(c)
+	if bounced := len(w.plat.told); refused+bounced != 30-c.Held || refused != c.Refused || bounced != c.Bounced {
+		t.Errorf("%d refused, %d bounced of 30: %+v", refused, bounced, c)
+	}
+	if got := len(w.owed()); got != c.Held {
+		t.Errorf("%d owed, %d held", got, c.Held)
+	}
+}
+
+func TestLaterEnds(t *testing.T) {
+	w := begin(t, nil)
+	w.take(msg("p", "payment", 1))
+	w.finish(next(t, w.ends.started, "call"), rules.Reset) // it may have run, and must not be sent again
+	if n := next(t, w.plat.told, "notice"); n.ID != "p" || !n.Dead {
+		t.Errorf("notice: %+v, want p dead", n)
+	}
+	late := msg("s", "stock", 1)
+	late.Deadline = time.Now().Add(100 * time.Millisecond)
+	w.take(late)
+	if n := next(t, w.plat.told, "notice"); n.ID != "s" || n.Dead || n.Wait <= 0 {
+		t.Errorf("notice: %+v, want s bounced with a wait", n)
+	}
+	c := w.settled("both over", func(c Counts) bool { return c.Held == 0 })
+	if c.Bounced != 1 || c.Dead != 1 {
+		t.Errorf("counters: %+v", c)
+	}
+	l, err := ledger.Open(w.dir, 2<<20, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if got := l.Notices(); len(got) != 2 {
+		t.Errorf("notices not accepted yet: %+v, want both", got)
+	}
+}
+
+func TestNoticesEndWhenAccepted(t *testing.T) {
+	w := begin(t, nil)
+	w.take(msg("p", "payment", 1))
+	w.finish(next(t, w.ends.started, "call"), rules.Reset)
+	next(t, w.plat.told, "notice")
+	w.Noticed([]string{"p"})
+	w.settled("noticed", func(c Counts) bool { return c.Noticed == 1 })
+	w.end()
+	w2 := newWorld(t, w.dir, nil).start()
+	w2.settled("recovered", func(c Counts) bool { return c.Recovered == 0 })
+	if n := len(w2.plat.told); n != 0 {
+		t.Errorf("%d notices after the restart, want none", n)
+	}
+}
+
+// After a process is killed, the next one returns to the module what is owed, and the module decides.
+func TestRestart(t *testing.T) {
+	dir := t.TempDir()
+	led, err := ledger.Open(dir, 2<<20, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := msg("late", "stock", 1)
+	late.Deadline = time.Now().Add(-time.Second)
+	old := msg("old", "no such class", 1)
+	for _, m := range []*message.Message{msg("once-ran", "payment", 1), msg("once-refused", "payment", 1), msg("safe-out", "stock", 1),
+		late, old} {
+		if err := led.Take(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, id := range []string{"once-ran", "once-refused", "safe-out"} {
+		if err := led.Call([]string{id}, []int{0}, "s-1", time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := led.Outcome("once-refused", 0, false); err != nil {
+		t.Fatal(err)
+	}
+	if err := led.Tell(ledger.Notice{ID: "told before", Dead: true}); err != nil {
+		t.Fatal(err)
+	}
+	led.Close()
+
+	w := newWorld(t, dir, nil).start()
+	told := map[string]bool{}
+	for range 4 {
+		n := next(t, w.plat.told, "notice")
+		told[n.ID] = n.Dead
+	}
+	if dead, ok := told["once-ran"]; !ok || !dead {
+		t.Errorf("an at-most-once message that may have run: %v, want dead at once", told)
+	}
+	if dead, ok := told["late"]; !ok || dead {
+		t.Errorf("a message out of time: %v, want bounced at once", told)
+	}
+	if dead, ok := told["old"]; !ok || !dead {
+		t.Errorf("a message of an unknown class: %v, want dead at once", told)
+	}
+	if _, ok := told["told before"]; !ok {
+		t.Errorf("the notice still owed was not repeated: %v", told)
+	}
+	sent := map[string]bool{}
+	for range 2 {
+		c := next(t, w.ends.started, "call")
+		sent[c.Items[0].ID] = true
+		w.finish(c, rules.OK)
+	}
+	if !sent["once-refused"] || !sent["safe-out"] {
+		t.Errorf("sent after the restart: %v", sent)
+	}
+	c := w.settled("all over", func(c Counts) bool { return c.Held == 0 })
+	if c.Recovered != 5 || c.Delivered != 2 {
+		t.Errorf("counters: %+v", c)
+	}
+}
+
+// A planned exit starts nothing in its last step and answers whoever waits; all it holds is found again.
+func TestStopKeepsWhatIsHeld(t *testing.T) {
+	w := begin(t, func(s *rules.Settings) { s.Slots = 1 })
+	w.take(msg("a", "stock", 1))
+	next(t, w.ends.started, "call")
+	w.take(msg("b", "stock", 1))
+	answers := make(chan Answer, 1)
+	go func() { answers <- w.Submit(msg("c", "stock", 1)) }()
+	w.end()
+	a := next(t, answers, "answer")
+	if n := len(w.ends.started); n != 0 {
+		t.Errorf("%d calls started at the end", n)
+	}
+	want := 2
+	if a.Verdict == Taken {
+		want = 3
+	} else if a.Verdict != Stopped {
+		t.Errorf("verdict %v at the end", a.Verdict)
+	}
+	if got := w.owed(); len(got) != want {
+		t.Errorf("%d owed after the exit, want %d", len(got), want)
+	}
+	if a := w.Submit(msg("d", "stock", 1)); a.Verdict != Stopped {
+		t.Errorf("after the exit: verdict %v", a.Verdict)
+	}
+}
+
+func TestWithdrawn(t *testing.T) {
+	w := begin(t, nil)
+	w.take(msg("a", "stock", 1))
+	c := next(t, w.ends.started, "call")
+	w.Withdraw("a")
+	w.Withdraw("a")
+	w.Withdraw("never heard of")
+	w.finish(c, rules.Errored)
+	got := w.settled("over", func(c Counts) bool { return c.Held == 0 && c.Out == 0 })
+	if got.Withdrawn != 1 || got.Attempts != 1 {
+		t.Errorf("counters: %+v", got)
+	}
+	if n := len(w.plat.told); n != 0 {
+		t.Errorf("%d notices for a withdrawn message", n)
+	}
+	if got := w.owed(); len(got) != 0 {
+		t.Errorf("owed: %+v", got)
+	}
+}
+
+func TestUnknownAndDuplicate(t *testing.T) {
+	w := begin(t, nil)
+	for _, m := range []*message.Message{msg("a", "no such class", 1), msg("a", "stock", 3)} {
+		if a := w.Submit(m); a.Verdict != Unknown {
+			t.Errorf("class %s, destination %d: verdict %v", m.Class, m.Dest, a.Verdict)
+		}
+	}
+	w.take(msg("a", "stock", 1))
+	if a := w.Submit(msg("a", "stock", 1)); a.Verdict != Duplicate {
+		t.Errorf("the same name again: verdict %v", a.Verdict)
+	}
+	w.addUp(w.Counts())
+}
+
+// With the folder full nothing new is taken on, and what is held goes on.
+func TestFullLedgerRefuses(t *testing.T) {
+	w := begin(t, func(s *rules.Settings) { s.MaxHeld, s.Slots = 1000, 1 })
+	n := 0
+	for ; n < 100; n++ {
+		m := msg(fmt.Sprint("m", n), "stock", 1)
+		m.Body = make([]byte, 60<<10)
+		a := w.Submit(m)
+		if a.Verdict == Refused {
+			if a.RetryAfter <= 0 {
+				t.Error("a refusal does not say when to come back")
+			}
+			break
+		}
+	}
+	if n == 100 {
+		t.Fatal("6 MB taken on in a folder of 2")
+	}
+	w.finish(next(t, w.ends.started, "call"), rules.OK)
+	next(t, w.ends.started, "call of the next")
+	w.addUp(w.Counts())
+}
+
+// One step's messages for an endpoint that takes several travel together, up to its number.
+func TestBatches(t *testing.T) {
+	w := newWorld(t, t.TempDir(), nil)
+	w.Recover()
+	replies := make(chan Answer, 10)
+	for i := range 7 {
+		w.Exchange.take(msg(fmt.Sprint("m", i), "stock", 2), replies)
+	}
+	w.step()
+	sizes := []int{}
+	for len(w.ends.started) > 0 {
+		c := <-w.ends.started
+		sizes = append(sizes, len(c.Items))
+	}
+	if fmt.Sprint(sizes) != "[3 3 1]" && fmt.Sprint(sizes) != "[3 3]" {
+		t.Errorf("calls of %v messages, want 3 at most and each filled", sizes)
+	}
+	w.led.Close()
+}
+
+// An attempt that times out ends its call; whether it may have run goes by what was written.
+func TestTimeOut(t *testing.T) {
+	for _, written := range []bool{true, false} {
+		w := begin(t, func(s *rules.Settings) { s.MaxAttempts = 1 })
+		m := msg("a", "payment", 1)
+		m.Deadline = time.Now().Add(150 * time.Millisecond)
+		w.take(m)
+		c := next(t, w.ends.started, "call")
+		if c.Waiting <= 0 || c.Waiting > 150*time.Millisecond {
+			t.Errorf("the call waits %v, want the time that is left", c.Waiting)
+		}
+		if got := next(t, w.ends.cancelled, "end of the call"); got != c {
+			t.Errorf("another call was given up")
+		}
+		w.Finish(c, Result{Written: written, Items: []ItemResult{{Outcome: rules.Cancelled}}})
+		want := rules.ConnectError
+		if written {
+			want = rules.TimedOut
+		}
+		w.settled("told", func(c Counts) bool { return c.Outcomes[want] == 1 && c.Held == 0 })
+	}
+}
+
+// An answer that crosses the giving up counts.
+func TestAnswerCrossesTimeOut(t *testing.T) {
+	w := begin(t, nil)
+	m := msg("a", "payment", 1)
+	m.Deadline = time.Now().Add(100 * time.Millisecond)
+	w.take(m)
+	c := next(t, w.ends.started, "call")
+	next(t, w.ends.cancelled, "end of the call")
+	w.finish(c, rules.OK)
+	w.settled("told", func(c Counts) bool { return c.Outcomes[rules.OK] == 1 && c.Out == 0 })
+}
+
+// A message over by the endpoint's word (410) needs no notice; one past its attempts (504) does.
+func TestOverElsewhere(t *testing.T) {
+	w := begin(t, nil)
+	w.take(msg("a", "stock", 1))
+	c := next(t, w.ends.started, "call")
+	w.Finish(c, Result{Written: true, Items: []ItemResult{{Outcome: rules.NotSent, Over: true}}})
+	got := w.settled("over", func(c Counts) bool { return c.Held == 0 })
+	if got.Elsewhere != 1 || len(w.plat.told) != 0 {
+		t.Errorf("%d notices, counters %+v", len(w.plat.told), got)
+	}
+	w.take(msg("b", "stock", 1))
+	for range 4 {
+		w.finish(next(t, w.ends.started, "call"), rules.NotSent)
+	}
+	if n := next(t, w.plat.told, "notice"); n.ID != "b" {
+		t.Errorf("notice: %+v", n)
+	}
+}
+
+// Whatever the list says later, a call never leaves for an endpoint of another destination.
+func TestMovedEndpointGetsNothing(t *testing.T) {
+	w := begin(t, nil)
+	w.List(Listing{Whole: true, Hosts: []Host{{Name: "s-1", Dial: "127.0.0.1:1001", Dest: 9}}})
+	m := msg("a", "stock", 1)
+	m.Deadline = time.Now().Add(200 * time.Millisecond)
+	w.take(m)
+	if n := next(t, w.plat.told, "notice"); n.ID != "a" {
+		t.Errorf("notice: %+v", n)
+	}
+	if n := len(w.ends.started); n != 0 {
+		t.Errorf("%d calls to an endpoint of another destination", n)
+	}
+}
+
+// A told wait halts the destination whatever outcome brought it.
+func TestWaitWithAnyOutcome(t *testing.T) {
+	w := begin(t, nil)
+	w.take(msg("a", "stock", 1))
+	c := next(t, w.ends.started, "call")
+	w.Finish(c, Result{Written: true, Items: []ItemResult{{Outcome: rules.OK, Wait: time.Hour}}})
+	w.settled("delivered", func(c Counts) bool { return c.Delivered == 1 })
+	m := msg("b", "stock", 1)
+	m.Deadline = time.Now().Add(200 * time.Millisecond)
+	w.take(m)
+	next(t, w.plat.told, "notice")
+	if n := len(w.ends.started); n != 0 {
+		t.Errorf("%d calls during the wait", n)
+	}
+}
+
+func TestCountersAreNamed(t *testing.T) {
+	text := Counts{In: 3, Outcomes: [rules.NotSent + 1]int{rules.Full: 2}}.LogValue().String()
+	for _, want := range []string{"in=3", "full=2", "delivered=0", "not_sent=0"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q not in %s", want, text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,189 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+)
+
+func parseRequest(text string) (*Request, []byte, error) {
+	br := bufio.NewReaderSize(strings.NewReader(text), 64)
+	r, err := ReadRequest(br)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := ReadBody(br, r.Length)
+	return r, body, err
+}
+
+func TestReadRequest(t *testing.T) {
+	r, body, err := parseRequest("\r\nPOST /notice?x=1 HTTP/1.1\r\nHost: app.svc\r\nreq-id:  9b1f \r\nExpect: 100-Continue\r\n" +
+		"Content-Length: 5\r\n\r\nhel\r\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Method != "POST" || r.Target != "/notice?x=1" || string(body) != "hel\r\n" || r.Close || !r.Continue {
+		t.Errorf("got %+v, body %q", r, body)
+	}
+	if id := r.Header.Get("Req-Id"); id != "9b1f" {
+		t.Errorf("Req-Id is %q, want 9b1f", id)
+	}
+}
+
+func TestRequestCloses(t *testing.T) {
+	for head, want := range map[string]bool{
+		"GET / HTTP/1.1\r\n\r\n":                                         false,
+		"GET / HTTP/1.1\r\nConnection: keep-alive, Close\r\n\r\n":        true,
+		"GET / HTTP/1.0\r\n\r\n":                                         true,
+		"GET / HTTP/1.0\r\nConnection: Keep-Alive\r\n\r\n":               false,
+		"GET / HTTP/1.1\r\nConnection: foo\r\nConnection: close\r\n\r\n": true,
+	} {
+		r, _, err := parseRequest(head)
+		if err != nil || r.Close != want {
+			t.Errorf("%q: close %v, error %v; want close %v", head, r != nil && r.Close, err, want)
+		}
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"no version":          {"GET /\r\n\r\n", 400},
+		"other version":       {"GET / HTTP/2.0\r\n\r\n", 400},
+		"no method":           {" / HTTP/1.1\r\n\r\n", 400},
+		"odd method":          {"G(T / HTTP/1.1\r\n\r\n", 400},
+		"no path":             {"GET x HTTP/1.1\r\n\r\n", 400},
+		"space in path":       {"GET /a b HTTP/1.1\r\n\r\n", 400},
+		"control in path":     {"GET /a\x01 HTTP/1.1\r\n\r\n", 400},
+		"line without colon":  {"GET / HTTP/1.1\r\nHost\r\n\r\n", 400},
+		"space before colon":  {"GET / HTTP/1.1\r\nHost : x\r\n\r\n", 400},
+		"folded line":         {"GET / HTTP/1.1\r\nHost: x\r\n y\r\n\r\n", 400},
+		"nul in value":        {"GET / HTTP/1.1\r\nHost: x\x00\r\n\r\n", 400},
+		"bare return":         {"GET / HTTP/1.1\r\nHost: x\ry\r\n\r\n", 400},
+		"two lengths":         {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", 400},
+		"negative length":     {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400},
+		"signed length":       {"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\nx", 400},
+		"empty length":        {"POST / HTTP/1.1\r\nContent-Length:\r\n\r\n", 400},
+		"length over 64 KiB":  {"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413},
+		"length over 64 bits": {"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 413},
+		"chunked":             {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 501},
+		"head too long":       {"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", MaxHead) + "\r\n\r\n", 400},
+		"line without end":    {strings.Repeat("x", MaxHead+1), 400},
+		"too many lines":      {"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", MaxFields+1) + "\r\n", 400},
+	} {
+		_, _, err := parseRequest(c.text)
+		var fault *Error
+		if !errors.As(err, &fault) || fault.Status != c.status {
+			t.Errorf("%s: got %v, want status %d", name, err, c.status)
+		}
+	}
+}
+
+func TestCutRequests(t *testing.T) {
+	whole := "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+	for n := range len(whole) {
+		want := io.ErrUnexpectedEOF
+		if n == 0 {
+			want = io.EOF
+		}
+		if _, _, err := parseRequest(whole[:n]); !errors.Is(err, want) {
+			t.Errorf("%q: got %v, want %v", whole[:n], err, want)
+		}
+	}
+}
+
+func TestLargestBody(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), MaxBody)
+	_, got, err := parseRequest(string(AppendRequest(nil, "POST", "/", nil, body)))
+	if err != nil || !bytes.Equal(got, body) {
+		t.Errorf("a body of %d bytes: got %d, error %v", MaxBody, len(got), err)
+	}
+}
+
+func parseResponse(text string) (*Response, error) {
+	return ReadResponse(bufio.NewReaderSize(strings.NewReader(text), 64), 100)
+}
+
+func TestReadResponse(t *testing.T) {
+	for text, want := range map[string]Response{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi":                            {Status: 200, Body: []byte("hi")},
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n": {Status: 200, Body: []byte{}},
+		"HTTP/1.1 204\r\n\r\n": {Status: 204},
+		"HTTP/1.1 429 Too Many\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx": {Status: 429, Body: []byte("x"), Close: true},
+		"HTTP/1.1 503 \r\n\r\nto the end":                                          {Status: 503, Body: []byte("to the end"), Close: true},
+	} {
+		r, err := parseResponse(text)
+		if err != nil || r.Status != want.Status || !bytes.Equal(r.Body, want.Body) || r.Close != want.Close {
+			t.Errorf("%q: got %+v, error %v", text, r, err)
+		}
+	}
+}
+
+// A first line with 200 means delivered, whatever becomes of the rest.
+func TestResponseKeepsStatusOfCutAnswer(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nWait-Ms: 5\r\nContent-Length: 2\r\n\r\nhi"
+	first := strings.Index(whole, "\n") + 1
+	for n := range len(whole) {
+		r, err := parseResponse(whole[:n])
+		if err == nil {
+			t.Errorf("%q: no error", whole[:n])
+		}
+		if told := r != nil && r.Status == 200; told != (n >= first) {
+			t.Errorf("%q: status told %v, want %v", whole[:n], told, n >= first)
+		}
+	}
+}
+
+func TestBadResponses(t *testing.T) {
+	for _, text := range []string{"", "x", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "HTTP/1.1 abc\r\n\r\n",
+		"HTTP/3 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 101)} {
+		if r, err := parseResponse(text); err == nil {
+			t.Errorf("%.40q: got %+v, want an error", text, r)
+		}
+	}
+}
+
+func FuzzReadRequest(f *testing.F) {
+	f.Add([]byte("POST /a HTTP/1.1\r\nContent-Length: 2\r\nReq-Id: x\r\n\r\nhi"))
+	f.Add([]byte("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		br := bufio.NewReaderSize(bytes.NewReader(text), 64)
+		r, err := ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := ReadBody(br, r.Length)
+		if err != nil {
+			return
+		}
+		if len(r.Header) > MaxFields || len(body) > MaxBody {
+			t.Fatalf("bounds passed: %d lines, %d bytes", len(r.Header), len(body))
+		}
+		fields := slices.DeleteFunc(slices.Clone(r.Header), func(f Field) bool { return strings.EqualFold(f.Name, "Content-Length") })
+		again, body2, err := parseRequest(string(AppendRequest(nil, r.Method, r.Target, fields, body)))
+		if err != nil && r.Method != "GET" {
+			t.Fatalf("written again it does not parse: %v", err)
+		}
+		if err == nil && r.Method != "GET" && (again.Target != r.Target || !bytes.Equal(body, body2)) {
+			t.Fatalf("written again it differs: %+v, %+v", r, again)
+		}
+	})
+}
+
+func FuzzReadResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 429 x\r\nWait-Ms: 7\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := ReadResponse(bufio.NewReaderSize(bytes.NewReader(text), 64), 1000)
+		if err == nil && (r.Status < 200 || r.Status > 999 || len(r.Body) > 1000) {
+			t.Fatalf("got %+v", r)
+		}
+	})
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -91,6 +91,7 @@
 	passing  bool
 	buf      []byte
 	stats    Stats
+	wrote    func() // for tests: called after each write
 }
 
 // Open reads the folder and starts a new segment. Broken records are logged, counted and skipped.
@@ -327,6 +328,9 @@
 	}
 	cur.size += int64(len(l.buf))
 	l.apply(r, cur)
+	if l.wrote != nil {
+		l.wrote()
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,312 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"eiderhaven/internal/message"
+)
+
+const testLimit = 2 << 20
+
+var (
+	quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+	noon  = time.UnixMilli(1_700_000_000_000)
+)
+
+func open(t testing.TB, dir string, limit int64) *Ledger {
+	t.Helper()
+	l, err := Open(dir, limit, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func msg(id string, size int) *message.Message {
+	return &message.Message{ID: id, Class: "stock", Dest: 7, Deadline: noon.Add(16 * time.Second),
+		Body: bytes.Repeat([]byte("b"), size)}
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// onDisk is what the folder counts for, in whole blocks, as the platform counts it.
+func onDisk(t testing.TB, dir string) int64 {
+	t.Helper()
+	files, err := os.ReadDir(dir)
+	must(t, err)
+	var sum int64
+	for _, f := range files {
+		info, err := f.Info()
+		must(t, err)
+		sum += (info.Size() + block - 1) / block * block
+	}
+	return sum
+}
+
+// A process that is killed leaves the folder as it stands; another one takes it up.
+func TestReopen(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir, testLimit)
+	for _, id := range []string{"new", "out", "refused", "ran", "gone", "bounced", "dead", "told"} {
+		must(t, l.Take(msg(id, 3)))
+	}
+	must(t, l.Call([]string{"out", "refused"}, []int{0, 0}, "s-1", noon))
+	must(t, l.Outcome("refused", 0, false))
+	must(t, l.Call([]string{"ran"}, []int{0}, "s-2", noon.Add(time.Second)))
+	must(t, l.Outcome("ran", 0, true))
+	must(t, l.Call([]string{"ran"}, []int{1}, "s-3", noon.Add(2*time.Second)))
+	must(t, l.Outcome("ran", 1, true))
+	must(t, l.End("gone"))
+	must(t, l.Tell(Notice{ID: "bounced", Wait: 1500 * time.Millisecond}))
+	must(t, l.Tell(Notice{ID: "dead", Dead: true}))
+	must(t, l.Tell(Notice{ID: "told", Dead: true}))
+	must(t, l.End("told"))
+
+	l = open(t, dir, testLimit)
+	want := []Owed{
+		{Message: msg("new", 3)},
+		{Message: msg("out", 3), Attempts: 1, MayRun: true, At: noon, Host: "s-1"},
+		{Message: msg("refused", 3), Attempts: 1},
+		{Message: msg("ran", 3), Attempts: 2, MayRun: true, At: noon.Add(time.Second), Host: "s-2"},
+	}
+	got := l.Owed()
+	if len(got) != len(want) {
+		t.Fatalf("%d messages owed, want %d: %+v", len(got), len(want), got)
+	}
+	for i, w := range want {
+		g := got[i]
+		if g.Message.ID != w.Message.ID || g.Attempts != w.Attempts || g.MayRun != w.MayRun || g.Host != w.Host ||
+			w.MayRun && !g.At.Equal(w.At) {
+			t.Errorf("owed %d: got %+v, want %+v", i, g, w)
+		}
+		if m := g.Message; m.Class != "stock" || m.Dest != 7 || string(m.Body) != "bbb" ||
+			!m.Deadline.Equal(w.Message.Deadline) {
+			t.Errorf("message %s came back as %+v", m.ID, m)
+		}
+	}
+	notices := l.Notices()
+	if len(notices) != 2 || notices[0] != (Notice{ID: "bounced", Wait: 1500 * time.Millisecond}) ||
+		notices[1] != (Notice{ID: "dead", Dead: true}) {
+		t.Errorf("notices: %+v", notices)
+	}
+}
+
+// Killed at any byte, the ledger loses at most the record being written.
+func TestTornTail(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir, testLimit)
+	must(t, l.Take(msg("a", 40)))
+	must(t, l.Take(msg("b", 40)))
+	path := l.segments[len(l.segments)-1].path
+	whole, err := os.ReadFile(path)
+	must(t, err)
+	first := len(whole) / 2 // both records have the same size
+	for n := range len(whole) + 1 {
+		torn := t.TempDir()
+		must(t, os.WriteFile(filepath.Join(torn, filepath.Base(path)), whole[:n], 0o600))
+		l := open(t, torn, testLimit)
+		want := n / first
+		if got := len(l.Owed()); got != want {
+			t.Errorf("cut at %d of %d: %d owed, want %d", n, len(whole), got, want)
+		}
+		broken := 0
+		if n%first != 0 {
+			broken = 1
+		}
+		if l.Stats().Broken != broken {
+			t.Errorf("cut at %d: %d broken, want %d", n, l.Stats().Broken, broken)
+		}
+		must(t, l.Take(msg("c", 1)))
+		must(t, l.Close())
+		if got := len(open(t, torn, testLimit).Owed()); got != want+1 {
+			t.Errorf("cut at %d, then written to: %d owed, want %d", n, got, want+1)
+		}
+	}
+}
+
+// One broken byte costs one record; those before and after it stand.
+func TestBrokenRecordIsSkipped(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir, testLimit)
+	for _, id := range []string{"a", "b", "c"} {
+		must(t, l.Take(msg(id, 40)))
+	}
+	path := l.segments[len(l.segments)-1].path
+	whole, err := os.ReadFile(path)
+	must(t, err)
+	third := len(whole) / 3
+	for n := third; n < 2*third; n++ {
+		bad := bytes.Clone(whole)
+		bad[n] ^= 0x5a
+		broken := t.TempDir()
+		must(t, os.WriteFile(filepath.Join(broken, filepath.Base(path)), bad, 0o600))
+		l := open(t, broken, testLimit)
+		owed := l.Owed()
+		if len(owed) != 2 || owed[0].Message.ID != "a" || owed[1].Message.ID != "c" || l.Stats().Broken != 1 {
+			t.Errorf("byte %d broken: %d owed, %d counted", n, len(owed), l.Stats().Broken)
+		}
+	}
+}
+
+// A long run through a small folder: it stays under its bound after every single write, those of a compaction
+// among them, and loses nothing.
+func TestBoundHoldsUnderChurn(t *testing.T) {
+	const limit = 1 << 20
+	dir := t.TempDir()
+	l := open(t, dir, limit)
+	rng := rand.New(rand.NewPCG(1, 2))
+	live := map[string]int{} // attempts
+	var order []string
+	full, copied := 0, 0
+	l.wrote = func() {
+		if l.passing {
+			copied++
+		}
+		if used, real := l.used(), onDisk(t, dir); real > limit || used < real {
+			t.Fatalf("the folder holds %d of %d bytes, counted as %d", real, limit, used)
+		}
+	}
+	for i := range 6000 {
+		switch id := fmt.Sprintf("m%d", i); {
+		case rng.IntN(3) > 0:
+			err := l.Take(msg(id, rng.IntN(6000)))
+			if errors.Is(err, ErrFull) {
+				full++
+				break
+			}
+			must(t, err)
+			live[id] = 0
+			order = append(order, id)
+		case len(order) > 0 && rng.IntN(2) == 0:
+			k := rng.IntN(len(order))
+			must(t, l.Call([]string{order[k]}, []int{live[order[k]]}, "s-1", noon))
+			must(t, l.Outcome(order[k], live[order[k]], false))
+			live[order[k]]++
+		}
+		for len(order) > 100 || len(order) > 0 && rng.IntN(4) == 0 {
+			k := rng.IntN(len(order))
+			id := order[k]
+			order = append(order[:k], order[k+1:]...)
+			delete(live, id)
+			if rng.IntN(2) == 0 {
+				must(t, l.Tell(Notice{ID: id, Dead: true}))
+			}
+			must(t, l.End(id))
+		}
+	}
+	if full == 0 || copied == 0 {
+		t.Errorf("full %d times, %d records copied: the test shows nothing", full, copied)
+	}
+	owed := open(t, dir, limit).Owed()
+	if len(owed) != len(live) {
+		t.Fatalf("%d owed after all, want %d", len(owed), len(live))
+	}
+	for _, o := range owed {
+		if n, known := live[o.Message.ID]; !known || n != o.Attempts || o.MayRun {
+			t.Errorf("owed: %+v, want %d attempts", o, n)
+		}
+	}
+}
+
+// A full folder refuses what is new, still records the ends of what it holds, and then has room again.
+func TestFullFolder(t *testing.T) {
+	const limit = 1 << 20
+	l := open(t, t.TempDir(), limit)
+	n := 0
+	var err error
+	for ; err == nil; n++ {
+		err = l.Take(msg(fmt.Sprint("m", n), 60<<10))
+	}
+	if !errors.Is(err, ErrFull) || n < 3 {
+		t.Fatalf("after %d messages: %v, want ErrFull", n, err)
+	}
+	if got := len(l.Owed()); got != n-1 {
+		t.Errorf("%d owed, want %d: the refused one must leave nothing", got, n-1)
+	}
+	for i := range n - 1 {
+		must(t, l.Call([]string{fmt.Sprint("m", i)}, []int{0}, "s-1", noon))
+		must(t, l.Tell(Notice{ID: fmt.Sprint("m", i), Dead: true}))
+		must(t, l.End(fmt.Sprint("m", i)))
+	}
+	must(t, l.Take(msg("after", 60<<10)))
+}
+
+// Files that are not the ledger's count towards the bound and are left alone.
+func TestForeignFiles(t *testing.T) {
+	dir := t.TempDir()
+	other := filepath.Join(dir, "notes.txt")
+	must(t, os.WriteFile(other, make([]byte, 1<<20), 0o600))
+	l := open(t, dir, 1<<20)
+	if err := l.Take(msg("a", 1)); !errors.Is(err, ErrFull) {
+		t.Errorf("got %v, want ErrFull", err)
+	}
+	if _, err := os.Stat(other); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestNoFolder(t *testing.T) {
+	if _, err := Open(filepath.Join(t.TempDir(), "none"), testLimit, quiet); err == nil {
+		t.Error("no error for a folder that is not there")
+	}
+}
+
+// A copy made by a compaction that was killed before it removed the original changes nothing.
+func TestKilledBetweenCopyAndRemoval(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir, testLimit)
+	must(t, l.Take(msg("a", 10)))
+	must(t, l.Call([]string{"a"}, []int{0}, "s-1", noon))
+	must(t, l.Outcome("a", 0, false))
+	must(t, l.Take(msg("b", 10)))
+	must(t, l.rotate())
+	for _, e := range l.homeAt(l.segments[len(l.segments)-2]) {
+		must(t, l.write(e.record()))
+	}
+	must(t, l.End("b"))
+	owed := open(t, dir, testLimit).Owed()
+	if len(owed) != 1 || owed[0].Message.ID != "a" || owed[0].Attempts != 1 || owed[0].MayRun {
+		t.Errorf("owed: %+v", owed)
+	}
+}
+
+func FuzzSegment(f *testing.F) {
+	good := appendRecord(nil, record{kind: kindKeep, id: "a", msg: msg("a", 5), open: []attempt{{num: 1, at: noon, host: "s"}}})
+	good = appendRecord(good, record{kind: kindCall, ids: []string{"a"}, nums: []int{2}, ran: attempt{at: noon, host: "s"}})
+	f.Add(good)
+	f.Add(appendRecord(good, record{kind: kindNotice, id: "a", wait: time.Second}))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		dir := t.TempDir()
+		must(t, os.WriteFile(filepath.Join(dir, "00000001.seg"), text, 0o600))
+		l := open(t, dir, testLimit)
+		l.Owed()
+		l.Notices()
+		if got := decodeWhole(text); got > len(text) {
+			t.Fatalf("%d records in %d bytes", got, len(text))
+		}
+	})
+}
+
+// decodeWhole decodes text as payloads of every kind, which must not panic, and counts the whole records in it.
+func decodeWhole(text []byte) (n int) {
+	for k := kindKeep; k <= kindEnd+1; k++ {
+		decodeRecord(append([]byte{byte(k)}, text...))
+	}
+	scan(text, func(payload []byte) bool { n++; return true })
+	return n
+}
--- /dev/null
+++ b/internal/outbound/outbound_test.go
@@ -0,0 +1,440 @@
+package outbound
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhaven/example/toy"
+	"eiderhaven/internal/exchange"
+	"eiderhaven/internal/http1"
+	"eiderhaven/internal/message"
+	"eiderhaven/rules"
+)
+
+type done struct {
+	call *exchange.Call
+	exchange.Result
+}
+
+// side is a pool whose results the test reads.
+type side struct {
+	*Pool
+	t    *testing.T
+	done chan done
+}
+
+func newSide(t *testing.T, change func(*Config)) *side {
+	s := &side{t: t, done: make(chan done, 100)}
+	cfg := Config{ConnectTimeout: 10 * time.Second, KeepAlive: time.Minute, MaxConns: 10,
+		Finish: func(c *exchange.Call, r exchange.Result) { s.done <- done{c, r} }}
+	if change != nil {
+		change(&cfg)
+	}
+	s.Pool = New(cfg)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func next[T any](t *testing.T, c <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(20 * time.Second):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+// eventually waits for a state that another goroutine brings about.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never %s", what)
+		}
+	}
+}
+
+func callTo(addr string, ids ...string) *exchange.Call {
+	c := &exchange.Call{Dial: addr, Waiting: 1500 * time.Millisecond}
+	for _, id := range ids {
+		c.Items = append(c.Items, &message.Message{ID: id, Body: []byte("body of " + id + "\r\n\x00")})
+	}
+	return c
+}
+
+// outcome makes a call with one message and returns how it ended.
+func (s *side) outcome(addr string) (exchange.ItemResult, bool) {
+	s.t.Helper()
+	s.Start(callTo(addr, "a"))
+	d := next(s.t, s.done, "result")
+	if len(d.Items) != 1 {
+		s.t.Fatalf("%d results for one message", len(d.Items))
+	}
+	return d.Items[0], d.Written
+}
+
+func listen(t *testing.T, h toy.Handler) *toy.Server {
+	t.Helper()
+	srv, err := toy.Listen("127.0.0.1:0", h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(srv.Close)
+	return srv
+}
+
+func TestOutcomes(t *testing.T) {
+	field := func(name, value string) http1.Header { return http1.Header{{Name: name, Value: value}} }
+	for name, c := range map[string]struct {
+		answer *http1.Response
+		want   exchange.ItemResult
+	}{
+		"delivered":       {&http1.Response{Status: 200, Body: []byte("whatever")}, exchange.ItemResult{Outcome: rules.OK}},
+		"error":           {&http1.Response{Status: 500}, exchange.ItemResult{Outcome: rules.Errored}},
+		"wait":            {&http1.Response{Status: 429, Header: field("Wait-Ms", "250")}, exchange.ItemResult{Outcome: rules.Full, Wait: 250 * time.Millisecond}},
+		"no wait told":    {&http1.Response{Status: 429}, exchange.ItemResult{Outcome: rules.Full}},
+		"odd wait":        {&http1.Response{Status: 429, Header: field("Wait-Ms", "NaN")}, exchange.ItemResult{Outcome: rules.Full}},
+		"turned away":     {&http1.Response{Status: 503}, exchange.ItemResult{Outcome: rules.Full}},
+		"slots taken":     {&http1.Response{Status: 503, Header: field("slots-taken", "1")}, exchange.ItemResult{Outcome: rules.NotSent, NoSlot: true}},
+		"attempts used":   {&http1.Response{Status: 504}, exchange.ItemResult{Outcome: rules.NotSent}},
+		"message over":    {&http1.Response{Status: 410}, exchange.ItemResult{Outcome: rules.NotSent, Over: true}},
+		"something else":  {&http1.Response{Status: 404}, exchange.ItemResult{Outcome: rules.Errored}},
+		"report":          {&http1.Response{Status: 200, Header: field("Srv-Load", `{"x0":0.4,"x1":25}`)}, exchange.ItemResult{Outcome: rules.OK, Report: rules.Report{Left: 0.4, Limit: 25}}},
+		"odd report":      {&http1.Response{Status: 200, Header: field("Srv-Load", `[`)}, exchange.ItemResult{Outcome: rules.OK}},
+		"broken after it": {nil, exchange.ItemResult{Outcome: rules.Reset}},
+	} {
+		srv := listen(t, func(*http1.Request, []byte) *http1.Response { return c.answer })
+		if got, written := newSide(t, nil).outcome(srv.Addr()); got != c.want || !written {
+			t.Errorf("%s: got %+v, written %v, want %+v", name, got, written, c.want)
+		}
+	}
+}
+
+func TestFormOfACall(t *testing.T) {
+	srv := listen(t, func(req *http1.Request, body []byte) *http1.Response {
+		if req.Method != "POST" || req.Target != "/receive" || req.Header.Get("Req-Id") != "a" ||
+			req.Header.Get("Req-Deadline-Ms") != "1500" || req.Header.Get("Host") == "" || string(body) != "body of a\r\n\x00" {
+			return &http1.Response{Status: 500}
+		}
+		return &http1.Response{Status: 200}
+	})
+	if got, _ := newSide(t, nil).outcome(srv.Addr()); got.Outcome != rules.OK {
+		t.Errorf("the endpoint did not find what it should: %+v", got)
+	}
+}
+
+func TestSeveralMessages(t *testing.T) {
+	ep, err := toy.NewEndpoint("127.0.0.1:0", func(id string, _ int) *http1.Response {
+		if id == "b" {
+			return &http1.Response{Status: 500}
+		}
+		return &http1.Response{Status: 200}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ep.Close()
+	s := newSide(t, nil)
+	s.Start(callTo(ep.Addr(), "a", "b", "c"))
+	d := next(t, s.done, "result")
+	for i, want := range []rules.Outcome{rules.OK, rules.Errored, rules.OK} {
+		if d.Items[i].Outcome != want {
+			t.Errorf("message %d: outcome %v, want %v", i, d.Items[i].Outcome, want)
+		}
+	}
+	if got := fmt.Sprint(ep.Received()); got != "[a b c]" {
+		t.Errorf("received %s", got)
+	}
+}
+
+func TestAnswersToSeveral(t *testing.T) {
+	all := func(o rules.Outcome) []rules.Outcome { return []rules.Outcome{o, o, o, o, o, o} }
+	for name, c := range map[string]struct {
+		status int
+		body   string
+		want   []rules.Outcome
+	}{
+		"each its own": {200, "a accepted\r\nb fault\r\nc deferred\nd expired\r\ne no_more\r\n",
+			[]rules.Outcome{rules.OK, rules.Errored, rules.Full, rules.NotSent, rules.NotSent, rules.Reset}},
+		"unreadable": {200, "a perhaps\r\nhello", all(rules.Reset)},
+		"all full":   {429, "", all(rules.Full)},
+		"all failed": {500, "", all(rules.Errored)},
+		"too many":   {413, "", all(rules.NotSent)},
+		"bad form":   {400, "", all(rules.NotSent)},
+	} {
+		srv := listen(t, func(*http1.Request, []byte) *http1.Response {
+			return &http1.Response{Status: c.status, Body: []byte(c.body), Header: http1.Header{{Name: "Wait-Ms", Value: "70"}}}
+		})
+		s := newSide(t, nil)
+		s.Start(callTo(srv.Addr(), "a", "b", "c", "d", "e", "f"))
+		d := next(t, s.done, "result")
+		for i, want := range c.want {
+			if d.Items[i].Outcome != want || d.Items[i].Wait != 70*time.Millisecond || d.Items[i].Over != (name == "each its own" && i == 3) {
+				t.Errorf("%s, message %d: got %+v, want outcome %v", name, i, d.Items[i], want)
+			}
+		}
+	}
+}
+
+// An answer to several messages that breaks off proves nothing; to one, its first line does.
+func TestCutAnswers(t *testing.T) {
+	for ids, want := range map[string]rules.Outcome{"a": rules.OK, "a b": rules.Reset} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		go func() {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			nc.Read(make([]byte, 4096))
+			nc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\na accepted\r\n"))
+			nc.Close()
+		}()
+		s := newSide(t, nil)
+		s.Start(callTo(ln.Addr().String(), strings.Fields(ids)...))
+		if got := next(t, s.done, "result").Items[0].Outcome; got != want {
+			t.Errorf("messages %s: outcome %v, want %v", ids, got, want)
+		}
+	}
+}
+
+func TestNoConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	if got, written := newSide(t, nil).outcome(addr); got.Outcome != rules.ConnectError || written {
+		t.Errorf("a closed port: %+v, written %v", got, written)
+	}
+}
+
+// A call that breaks before its last byte was written has never run.
+func TestBrokenWhileWritten(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		nc.Read(make([]byte, 10))
+		nc.Close() // with unread bytes: a reset
+	}()
+	s := newSide(t, nil)
+	c := callTo(ln.Addr().String(), "a")
+	c.Items[0].Body = make([]byte, 64<<20) // more than the kernel buffers
+	s.Start(c)
+	if d := next(t, s.done, "result"); d.Written || d.Items[0].Outcome != rules.ConnectError {
+		t.Errorf("got %+v", d.Result)
+	}
+}
+
+func ok(*http1.Request, []byte) *http1.Response { return &http1.Response{Status: 200} }
+
+// idleAt is the number of idle connections to an address.
+func (s *side) idleAt(addr string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.idle[addr])
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	srv := listen(t, ok)
+	s := newSide(t, nil)
+	for range 5 {
+		if got, _ := s.outcome(srv.Addr()); got.Outcome != rules.OK {
+			t.Fatalf("outcome %v", got.Outcome)
+		}
+		eventually(t, "idle", func() bool { return s.idleAt(srv.Addr()) == 1 })
+	}
+	if n := srv.Opened(); n != 1 {
+		t.Errorf("%d connections for five calls, want 1", n)
+	}
+}
+
+// One call at a time travels on a connection.
+func TestOneCallAConnection(t *testing.T) {
+	release := make(chan struct{})
+	srv := listen(t, func(*http1.Request, []byte) *http1.Response {
+		<-release
+		return &http1.Response{Status: 200}
+	})
+	s := newSide(t, nil)
+	for range 3 {
+		s.Start(callTo(srv.Addr(), "a"))
+	}
+	eventually(t, "three connections", func() bool { return srv.Opened() == 3 })
+	close(release)
+	for range 3 {
+		if d := next(t, s.done, "result"); d.Items[0].Outcome != rules.OK {
+			t.Errorf("got %+v", d.Result)
+		}
+	}
+}
+
+// The endpoint closes its side of an idle connection: the next call gets a fresh one and is sent once.
+func TestClosedWhileIdle(t *testing.T) {
+	ep, err := toy.NewEndpoint("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ep.Close()
+	s := newSide(t, nil)
+	s.outcome(ep.Addr())
+	eventually(t, "idle", func() bool { return s.idleAt(ep.Addr()) == 1 })
+	ep.Break()
+	eventually(t, "seen closed", func() bool { return s.idleAt(ep.Addr()) == 0 })
+	if got, _ := s.outcome(ep.Addr()); got.Outcome != rules.OK {
+		t.Errorf("outcome %v", got.Outcome)
+	}
+	if n := len(ep.Received()); n != 2 {
+		t.Errorf("%d calls arrived, want 2", n)
+	}
+}
+
+// A connection that answers what nobody asked, or says that it closes, is not used again.
+func TestUnfitConnections(t *testing.T) {
+	srv := listen(t, func(*http1.Request, []byte) *http1.Response {
+		return &http1.Response{Status: 200, Header: http1.Header{{Name: "Connection", Value: "close"}}}
+	})
+	s := newSide(t, nil)
+	for range 2 {
+		s.outcome(srv.Addr())
+	}
+	if n := srv.Opened(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+func TestIdleEndsBeforeTheOtherSideCloses(t *testing.T) {
+	srv := listen(t, ok)
+	s := newSide(t, func(c *Config) { c.KeepAlive = 200 * time.Millisecond })
+	s.outcome(srv.Addr())
+	eventually(t, "idle", func() bool { return s.idleAt(srv.Addr()) == 1 })
+	eventually(t, "closed", func() bool { return s.idleAt(srv.Addr()) == 0 && srv.Open() == 0 })
+}
+
+func TestCloseIdle(t *testing.T) {
+	srv := listen(t, ok)
+	s := newSide(t, nil)
+	s.outcome(srv.Addr())
+	eventually(t, "idle", func() bool { return s.idleAt(srv.Addr()) == 1 })
+	s.CloseIdle("127.0.0.1:1")
+	if n := s.idleAt(srv.Addr()); n != 1 {
+		t.Errorf("closing another address left %d idle", n)
+	}
+	s.CloseIdle(srv.Addr())
+	eventually(t, "closed", func() bool { return srv.Open() == 0 })
+}
+
+// At the cap the connection idle longest makes room, and the cap holds again once calls are over.
+func TestConnectionCap(t *testing.T) {
+	s := newSide(t, func(c *Config) { c.MaxConns = 2 })
+	var servers []*toy.Server
+	for range 4 {
+		srv := listen(t, ok)
+		servers = append(servers, srv)
+		if got, _ := s.outcome(srv.Addr()); got.Outcome != rules.OK {
+			t.Fatalf("outcome %v", got.Outcome)
+		}
+		eventually(t, "idle", func() bool { return s.idleAt(srv.Addr()) == 1 })
+	}
+	eventually(t, "within the cap", func() bool {
+		open := 0
+		for _, srv := range servers {
+			open += srv.Open()
+		}
+		return open <= 2
+	})
+	if servers[3].Open() != 1 {
+		t.Error("the connection used last was closed")
+	}
+}
+
+// Giving a call up closes its connection; it was written, so it may have run.
+func TestCancelWhileWaiting(t *testing.T) {
+	got, release := make(chan struct{}), make(chan struct{})
+	srv := listen(t, func(*http1.Request, []byte) *http1.Response {
+		close(got)
+		<-release
+		return nil
+	})
+	defer close(release)
+	s := newSide(t, nil)
+	h := s.Start(callTo(srv.Addr(), "a"))
+	next(t, got, "call")
+	h.Cancel()
+	if d := next(t, s.done, "result"); !d.Written || d.Items[0].Outcome != rules.Cancelled {
+		t.Errorf("got %+v", d.Result)
+	}
+	if n := s.idleAt(srv.Addr()); n != 0 {
+		t.Errorf("%d connections kept", n)
+	}
+}
+
+// A call given up before it was written never ran, and leaves its connection usable.
+func TestCancelBeforeTheCall(t *testing.T) {
+	ep, err := toy.NewEndpoint("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ep.Close()
+	s := newSide(t, nil)
+	nc, err := net.Dial("tcp", ep.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	j := &job{call: callTo(ep.Addr(), "a")}
+	j.Cancel()
+	if !s.do(&conn{nc: nc}, j) {
+		t.Error("the connection is given up")
+	}
+	if d := next(t, s.done, "result"); d.Written || d.Items[0].Outcome != rules.Cancelled {
+		t.Errorf("got %+v", d.Result)
+	}
+	if n := len(ep.Received()); n != 0 {
+		t.Errorf("%d calls arrived", n)
+	}
+	j = &job{call: callTo(ep.Addr(), "a")}
+	j.Cancel()
+	if c := s.connect(j); c != nil {
+		t.Error("a connection for a call given up")
+	}
+	if d := next(t, s.done, "result"); d.Written || d.Items[0].Outcome != rules.Cancelled {
+		t.Errorf("got %+v", d.Result)
+	}
+}
+
+func FuzzOutcomes(f *testing.F) {
+	f.Add(200, "a accepted\r\nb fault\r\n", "7", `{"x0":1}`)
+	f.Add(429, "", "-1", "{")
+	f.Fuzz(func(t *testing.T, status int, body, wait, load string) {
+		resp := &http1.Response{Status: status, Body: []byte(body),
+			Header: http1.Header{{Name: "Wait-Ms", Value: wait}, {Name: "Srv-Load", Value: load}}}
+		for _, call := range []*exchange.Call{callTo("x", "a"), callTo("x", "a", "b")} {
+			got := outcomes(call, resp, nil, rules.Reset)
+			if len(got) != len(call.Items) {
+				t.Fatalf("%d results for %d messages", len(got), len(call.Items))
+			}
+			for _, r := range got {
+				if r.Wait < 0 || r.Outcome == rules.OK && status != 200 {
+					t.Fatalf("status %d: %+v", status, r)
+				}
+			}
+		}
+	})
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -22,6 +22,7 @@
 // so a call waits briefly and is given up then.
 const (
 	watchWait  = 4 * time.Second
+	watchGrace = time.Second // past the wait; a lost call must be asked again before a change counts as told
 	listLimit  = 2 * time.Second
 	firstPause = 50 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
@@ -91,7 +92,7 @@
 	target, limit := "/registry/instances", listLimit
 	if r.Lists.Load() > 0 {
 		target = fmt.Sprintf("%s?after=%d&wait_ms=%d", target, r.seq, watchWait.Milliseconds())
-		limit = watchWait + listLimit
+		limit = watchWait + watchGrace
 	}
 	resp, err := r.client.do(ctx, limit, "GET", target, nil)
 	if err != nil {
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,261 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"eiderhaven/example/toy"
+	"eiderhaven/internal/exchange"
+	"eiderhaven/internal/http1"
+	"eiderhaven/internal/ledger"
+	"eiderhaven/internal/settings"
+)
+
+var (
+	quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+	names = &settings.Names{Kinds: []string{"bulk", "all"}, Zones: []string{"here", "there"}}
+)
+
+// sink hands on what it is told.
+type sink struct {
+	lists   chan exchange.Listing
+	failed  chan struct{}
+	noticed chan []string
+}
+
+func newSink() *sink {
+	return &sink{make(chan exchange.Listing, 100), make(chan struct{}, 100), make(chan []string, 100)}
+}
+
+func (s *sink) List(l exchange.Listing) { s.lists <- l }
+func (s *sink) ListFailed()             { s.failed <- struct{}{} }
+func (s *sink) Noticed(ids []string)    { s.noticed <- ids }
+
+// next waits for something, long enough for the slowest machine.
+func next[T any](t *testing.T, c <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(20 * time.Second):
+		t.Fatalf("no %s", what)
+		panic("unreachable")
+	}
+}
+
+// start runs f until the test ends.
+func start(t *testing.T, f func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { f(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+}
+
+func entry(host, health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":"127.0.0.1:9000","site":"there","class":"all","block":3,"health":%q,"share":2.5,"born_ms":0}`, host, health)
+}
+
+func TestParse(t *testing.T) {
+	seq, l, err := Parse([]byte(`{"seq":41,"whole":true,"hosts":[`+entry("a", "Ready")+","+entry("b", "Terminating")+
+		`,{"host":"c","health":"Gone"},{"host":"d","dial":"127.0.0.1:1","site":"x","class":"y","block":0,"health":"Ready"}],"more":1}`), names)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []exchange.Host{
+		{Name: "a", Dial: "127.0.0.1:9000", Dest: 3, Kind: 1, Zone: 1, Rate: 2.5},
+		{Name: "b", Dial: "127.0.0.1:9000", Dest: 3, Kind: 1, Zone: 1, Rate: 2.5, Draining: true},
+		{Name: "c", Kind: 2, Zone: 2, Gone: true},
+		{Name: "d", Dial: "127.0.0.1:1", Kind: 2, Zone: 2},
+	}
+	if seq != 41 || !l.Whole || len(l.Hosts) != len(want) {
+		t.Fatalf("got seq %d, %+v", seq, l)
+	}
+	for i, w := range want {
+		if l.Hosts[i] != w {
+			t.Errorf("host %d: got %+v, want %+v", i, l.Hosts[i], w)
+		}
+	}
+}
+
+var garbage = []string{"", "null", "[]", "{", `{"seq":1}`, `{"hosts":[]}`, `{"seq":"1","hosts":[]}`,
+	`{"seq":1,"hosts":[{}]}`, `{"seq":1,"hosts":[{"host":"a","health":"Ready","block":1}]}`,
+	`{"seq":1,"hosts":[{"host":"a","health":"Ready","dial":"127.0.0.1:9000"}]}`,
+	`{"seq":1,"hosts":[{"host":"a","health":"Ready","dial":"127.0.0.1:0","block":1}]}`,
+	`{"seq":1,"hosts":[{"host":"a","health":"Ready","dial":"nowhere:80","block":1}]}`,
+	`{"seq":1,"hosts":[{"host":"a","health":"Odd","dial":"127.0.0.1:9000","block":1}]}`}
+
+func TestParseGarbage(t *testing.T) {
+	for _, text := range garbage {
+		if _, l, err := Parse([]byte(text), names); err == nil {
+			t.Errorf("%s: got %+v, want an error", text, l)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, text := range garbage {
+		f.Add([]byte(text))
+	}
+	f.Add([]byte(`{"seq":41,"whole":true,"hosts":[` + entry("a", "Ready") + `]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, l, err := Parse(text, names)
+		for _, h := range l.Hosts {
+			if err == nil && (h.Name == "" || !h.Gone && h.Dial == "") {
+				t.Fatalf("accepted %+v", h)
+			}
+		}
+	})
+}
+
+func TestWatchFollowsChanges(t *testing.T) {
+	d, err := toy.NewDiscovery("127.0.0.1:0", toy.Entry{Host: "a", Dial: "127.0.0.1:9000", Block: 3, Health: "Ready"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	r, s := New(d.Addr(), 0, names, quiet), newSink()
+	start(t, func(ctx context.Context) { r.Run(ctx, s) })
+	if l := next(t, s.lists, "first list"); !l.Whole || len(l.Hosts) != 1 {
+		t.Errorf("first list: %+v", l)
+	}
+	next(t, r.Heard(), "word of the first list")
+	d.Set(toy.Entry{Host: "a", Dial: "127.0.0.1:9000", Block: 3, Health: "Terminating"})
+	if l := next(t, s.lists, "change"); len(l.Hosts) != 1 || !l.Hosts[0].Draining {
+		t.Errorf("after the change: %+v", l)
+	}
+	if n := d.Opened(); n != 1 {
+		t.Errorf("%d connections, want 1", n)
+	}
+}
+
+// The watch names the version it holds, and the next call follows at once on the same connection.
+func TestWatchNamesItsVersion(t *testing.T) {
+	targets := make(chan string, 100)
+	seq := 4
+	srv, err := toy.Listen("127.0.0.1:0", func(req *http1.Request, _ []byte) *http1.Response {
+		targets <- req.Target
+		if seq++; seq > 8 {
+			seq = 8
+			time.Sleep(10 * time.Millisecond) // nothing new: it waits
+		}
+		return &http1.Response{Status: 200, Body: fmt.Appendf(nil, `{"seq":%d,"hosts":[]}`, seq)}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer srv.Close()
+	s := newSink()
+	start(t, func(ctx context.Context) { New(srv.Addr(), 0, names, quiet).Run(ctx, s) })
+	if got := next(t, targets, "call"); got != "/registry/instances" {
+		t.Errorf("first call: %s", got)
+	}
+	for seq := 5; seq <= 7; seq++ {
+		if got := next(t, targets, "call"); !strings.Contains(got, fmt.Sprintf("after=%d&", seq)) || !strings.Contains(got, "wait_ms=") {
+			t.Errorf("a call with version %d: %s", seq, got)
+		}
+	}
+}
+
+// Garbage and broken connections keep the old list, count as failed, and the watch goes on.
+func TestWatchOutlivesGarbage(t *testing.T) {
+	answers := make(chan *http1.Response, len(garbage)+3)
+	answers <- &http1.Response{Status: 200, Body: []byte(`{"seq":1,"whole":true,"hosts":[` + entry("a", "Ready") + `]}`)}
+	for _, text := range garbage {
+		answers <- &http1.Response{Status: 200, Body: []byte(text)}
+	}
+	answers <- &http1.Response{Status: 500}
+	answers <- nil
+	answers <- &http1.Response{Status: 200, Body: []byte(`{"seq":2,"whole":true,"hosts":[]}`)}
+	end := make(chan struct{})
+	srv, err := toy.Listen("127.0.0.1:0", func(*http1.Request, []byte) *http1.Response {
+		select {
+		case a := <-answers:
+			return a
+		case <-end:
+			return nil
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer srv.Close()
+	defer close(end)
+	r, s := New(srv.Addr(), 0, names, quiet), newSink()
+	start(t, func(ctx context.Context) { r.Run(ctx, s) })
+	next(t, s.lists, "first list")
+	for range len(garbage) + 2 {
+		next(t, s.failed, "failure")
+		r.Watch() // does not wait out the pause
+	}
+	if l := next(t, s.lists, "second list"); !l.Whole || len(l.Hosts) != 0 {
+		t.Errorf("second list: %+v", l)
+	}
+	if n := r.Failed.Load(); n != int64(len(garbage)+2) {
+		t.Errorf("%d failures counted, want %d", n, len(garbage)+2)
+	}
+}
+
+// A notice is repeated until it was accepted with 204, over failures of every kind.
+func TestNoticesAreRetried(t *testing.T) {
+	answers := make(chan *http1.Response, 3)
+	answers <- &http1.Response{Status: 500}
+	answers <- nil
+	answers <- &http1.Response{Status: 200}
+	bodies := make(chan string, 100)
+	srv, err := toy.Listen("127.0.0.1:0", func(req *http1.Request, body []byte) *http1.Response {
+		bodies <- req.Method + " " + req.Target + " " + string(body)
+		select {
+		case a := <-answers:
+			return a
+		default:
+			return &http1.Response{Status: 204}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer srv.Close()
+	n, s := NewNotices(srv.Addr(), quiet), newSink()
+	n.Tell(ledger.Notice{ID: "a", Dead: true, Wait: time.Second})
+	n.Tell(ledger.Notice{ID: "b", Wait: 500 * time.Millisecond})
+	start(t, func(ctx context.Context) { n.Run(ctx, s) })
+	want := `POST /status {"ref":"a","result":"dead"}` + "\n" + `{"ref":"b","result":"bounced","wait_ms":500}` + "\n"
+	for range 4 {
+		if got := next(t, bodies, "post"); got != want {
+			t.Errorf("posted %q, want %q", got, want)
+		}
+	}
+	if ids := next(t, s.noticed, "word of acceptance"); len(ids) != 2 || ids[0] != "a" || ids[1] != "b" {
+		t.Errorf("accepted: %v", ids)
+	}
+}
+
+// A notice that the platform cannot read does not hold up the others.
+func TestUnreadableNotice(t *testing.T) {
+	srv, err := toy.Listen("127.0.0.1:0", func(_ *http1.Request, body []byte) *http1.Response {
+		if strings.Contains(string(body), `"bad"`) {
+			return &http1.Response{Status: 400}
+		}
+		return &http1.Response{Status: 204}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer srv.Close()
+	n, s := NewNotices(srv.Addr(), quiet), newSink()
+	for _, id := range []string{"bad", "x", "y"} {
+		n.Tell(ledger.Notice{ID: id})
+	}
+	start(t, func(ctx context.Context) { n.Run(ctx, s) })
+	for _, want := range []string{"x", "y"} {
+		if ids := next(t, s.noticed, "word of acceptance"); len(ids) != 1 || ids[0] != want {
+			t.Errorf("accepted %v, want %s", ids, want)
+		}
+	}
+}
