Steps on tick bounds; what must not run twice is not sent just before a planned exit

Ruled out: connects (1.00 s each, none late), timing of the module's steps, the ledger.

The module hears when its process is to end (Ending) and holds back what must not run twice if the answer may come too late (fits); the message waits in the ledger. Guards against a planned restart that loses at-most-once messages; costs them the wait.

--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -148,6 +148,7 @@
 // drain goes on serving until the time is over, or nobody is left to serve and nothing is owed.
 func (s *service) drain(signals <-chan os.Signal) {
 	begun := time.Now()
+	s.exchange.Ending(drainFor)
 	end := time.NewTimer(drainFor)
 	defer end.Stop()
 	look := time.NewTicker(50 * time.Millisecond)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -114,6 +114,7 @@
 	events   []rules.Event
 	fresh    []*held // taken in since the last step, not answered yet
 	wakeAt   time.Duration
+	since    time.Duration // when the oldest event not stepped yet was seen, negative if none waits
 	lastStep time.Duration
 	counts   Counts
 	stopping bool // in the last step
@@ -130,7 +131,7 @@
 func New(cfg Config) *Exchange {
 	x := &Exchange{cfg: cfg, in: make(chan func(), 1024), halt: make(chan struct{}), done: make(chan struct{}),
 		started: time.Now(), classes: map[string]int{}, sender: rules.New(*cfg.Settings), held: map[string]*held{},
-		dir: newDirectory(), wakeAt: -1}
+		dir: newDirectory(), wakeAt: -1, since: -1}
 	for i, name := range cfg.Classes {
 		x.classes[name] = i
 	}
@@ -225,6 +226,11 @@
 // ListFailed tells that the registry could not be heard.
 func (x *Exchange) ListFailed() { x.post(func() { x.events = append(x.events, rules.ListFailed{}) }) }
 
+// Ending tells that Stop will be called after this time.
+func (x *Exchange) Ending(after time.Duration) {
+	x.post(func() { x.events = append(x.events, rules.Ending{After: after}) })
+}
+
 // Noticed tells that the platform has accepted the notices of these messages.
 func (x *Exchange) Noticed(ids []string) {
 	x.post(func() {
@@ -272,25 +278,42 @@
 	}
 }
 
-// advance steps if there is anything to do and the tick allows it, and returns when to look again.
+// advance steps if there is anything to do and its tick is over, and returns when to look again. What comes within
+// one tick is told at once, so that messages handed in together can share a call.
 func (x *Exchange) advance() time.Duration {
-	const idle = time.Minute
-	now, tick := x.now(), x.cfg.Settings.Tick
+	now := x.now()
+	if due := x.nextStep(now); due < 0 || now < due {
+		return untilStep(now, due)
+	}
+	x.step()
+	return untilStep(x.now(), x.nextStep(now))
+}
+
+// nextStep is when to step next, negative if nothing is to come.
+func (x *Exchange) nextStep(now time.Duration) time.Duration {
+	tick := x.cfg.Settings.Tick
 	due := x.nextDue()
-	if len(x.events) > 0 || len(x.fresh) > 0 {
-		due = now
+	if len(x.events) > 0 {
+		if x.since < 0 {
+			x.since = now
+		}
+		if at := x.since.Truncate(tick) + tick; due < 0 || at < due {
+			due = at
+		}
 	}
 	if due < 0 {
-		return idle
+		return due
 	}
-	if due = max(due, x.lastStep+tick); now < due {
-		return min(due-now, idle)
-	}
-	x.step()
-	if due = x.nextDue(); due < 0 {
+	return max(due, x.lastStep+tick)
+}
+
+// untilStep is how long to sleep before a step.
+func untilStep(now, due time.Duration) time.Duration {
+	const idle = time.Minute
+	if due < 0 {
 		return idle
 	}
-	return max(min(max(due, x.lastStep+tick)-x.now(), idle), 0)
+	return max(min(due-now, idle), 0)
 }
 
 // nextDue is the earliest wake-up or time-out, negative if there is none.
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -80,7 +80,7 @@
 		x.events = append(x.events, rules.Woke{})
 	}
 	events := x.events
-	x.events = nil
+	x.events, x.since = nil, -1
 	actions := x.sender.Step(now, events)
 	x.lastStep = now
 	var sends []rules.Send
--- a/rules/api.go
+++ b/rules/api.go
@@ -178,6 +178,9 @@
 	Entries []Entry
 }
 
+// Ending tells that the sender's process is to end in a while. A call that is out then may have run.
+type Ending struct{ After time.Duration }
+
 // ListFailed tells that a call to the registry failed or the watch broke.
 type ListFailed struct{}
 
@@ -189,6 +192,7 @@
 func (Ended) event()         {}
 func (StreamStarted) event() {}
 func (Listed) event()        {}
+func (Ending) event()        {}
 func (ListFailed) event()    {}
 func (Woke) event()          {}
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -154,9 +154,9 @@
 	case Arrived:
 		s.take(e)
 	case Withdrawn:
-		if m := s.held[e.ID]; m != nil {
-			s.forget(m)
-		}
+		s.forget(s.held[e.ID])
+	case Ending:
+		s.endsAt = s.now + e.After
 	case Ended:
 		s.attemptEnded(e)
 	case StreamStarted:
@@ -587,7 +587,7 @@
 }
 
 // fits tells whether a message suits an endpoint's health: what may not be repeated stays away from one that
-// answers late, or may swallow it.
+// answers late, or may swallow it, and waits for the next process if this one may end before the answer.
 func (s *Sender) fits(m *message, ep *endpoint) bool {
 	if ep.health == probation && m.tries+1 >= s.set.MaxAttempts {
 		return false // its last attempt is for a better time
@@ -595,7 +595,8 @@
 	if m.class.Effect == Safe || m.class.Effect == Keyed && s.now-ep.failing < briefTrouble {
 		return true
 	}
-	return ep.health == probation || s.quiet(ep) <= s.lateAfter(ep)
+	late := s.lateAfter(ep)
+	return s.now+late < s.endsAt && (ep.health == probation || s.quiet(ep) <= late)
 }
 
 // dispatch makes calls while there are slots, best first, and frees a slot if a good call finds none.
@@ -761,9 +762,7 @@
 			oldest = c
 		}
 	}
-	if oldest != nil {
-		s.cancel(oldest)
-	}
+	s.cancel(oldest)
 }
 
 // makeRoom refuses messages of the most backed-up destination before newcomers for others find no room.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1066,3 +1066,23 @@
 		t.Errorf("%d sends after it, want 1", n)
 	}
 }
+
+// Before the process ends, what must not run twice is not sent where its answer may come too late; it is kept, not
+// given up, for the next process. What may be repeated still goes.
+func TestEndingHoldsBackWhatMayNotBeRepeated(t *testing.T) {
+	b := newBench(t, nil)
+	b.serve(3, safe, 11) // answers in 100 ms: late after half a second
+	b.step(Ending{After: 2 * sec})
+	if _, out := b.take(once); len(sends(out)) != 1 {
+		t.Errorf("with time enough: %v, want it sent", out)
+	}
+	b.wait(1600 * ms)
+	_, out := b.take(once)
+	out = append(out, b.wait(300*ms)...)
+	if len(sends(out)) != 0 || finals(out) != 0 {
+		t.Errorf("just before the end: %v, want it held", out)
+	}
+	if _, out := b.take(safe); len(sends(out)) != 1 {
+		t.Errorf("just before the end, repeatable: %v, want it sent", out)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -150,12 +150,13 @@
 	idled     []*endpoint // had a call end in this step
 	wakeAt    time.Duration
 	watchAt   time.Duration
+	endsAt    time.Duration // of the process
 	actions   []Action
 }
 
 // New returns a sender that knows nothing but its settings.
 func New(set Settings) *Sender {
-	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never,
+	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never,
 		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
 		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, opened: map[int]int{}, arrivals: make([]meter, len(set.Tenants))}
 	for _, t := range set.Tenants {
@@ -209,8 +210,11 @@
 	}
 }
 
-// forget drops a message that is over; outcomes of its attempts may still come.
+// forget drops a message that is over, nil for one not held; outcomes of its attempts may still come.
 func (s *Sender) forget(m *message) {
+	if m == nil {
+		return
+	}
 	m.over = true
 	delete(s.held, m.id)
 	m.dest.msgs = without(m.dest.msgs, m)
@@ -324,8 +328,11 @@
 	return a
 }
 
-// cancel calls off what a call has out.
+// cancel calls off what a call, if there is one, has out.
 func (s *Sender) cancel(c *call) {
+	if c == nil {
+		return
+	}
 	c.cancelled = true
 	for _, a := range c.attempts {
 		if s.attempts[attemptKey{a.id, a.num}] == a && !a.msg.streamed {
