--- a/cmd/eiderhaven/main_test.go
+++ b/cmd/eiderhaven/main_test.go
@@ -102,7 +102,13 @@
 // launch starts a sender and waits until it is ready.
 func (p *place) launch() *process {
 	p.t.Helper()
-	proc := &process{Cmd: exec.Command(os.Args[0]), t: p.t, done: make(chan error, 1)}
+	return p.launchBy(os.Args[0])
+}
+
+// launchBy does so by a command that becomes the sender.
+func (p *place) launchBy(command ...string) *process {
+	p.t.Helper()
+	proc := &process{Cmd: exec.Command(command[0], command[1:]...), t: p.t, done: make(chan error, 1)}
 	proc.Env = append(os.Environ(), "EIDERHAVEN_TEST_PROCESS=1", "GORACE=atexit_sleep_ms=0", "LB_CONFIG="+p.config, "LB_STATE="+p.state)
 	proc.Stderr = proc
 	if err := proc.Start(); err != nil {
@@ -158,10 +164,15 @@
 	return http1.ReadResponse(bufio.NewReader(nc), 1<<16)
 }
 
+// handIn is the request that hands in a message.
+func handIn(id, class string, ms int) string {
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Deadline-Ms: %d\r\nEnvelope: dest=7\r\n"+
+		"Content-Length: 2\r\n\r\nhi", class, id, class, ms)
+}
+
 func (p *place) handIn(id, class string, ms int) {
 	p.t.Helper()
-	r, err := p.ask(fmt.Sprintf("POST /%s HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Deadline-Ms: %d\r\nEnvelope: dest=7\r\n"+
-		"Content-Length: 2\r\n\r\nhi", class, id, class, ms))
+	r, err := p.ask(handIn(id, class, ms))
 	if err != nil || r.Status != 202 {
 		p.t.Fatalf("handing in %s: %+v, %v", id, r, err)
 	}
@@ -340,3 +351,83 @@
 		t.Errorf("got %+v", c)
 	}
 }
+
+// Killed again and again at whatever byte it has reached, the sender loses nothing that it took on: each message
+// reaches the endpoint or is ended by a notice, and none that must not run twice arrives twice.
+func TestKilledAgainAndAgain(t *testing.T) {
+	p := newPlace(t, nil)
+	taken := map[string]bool{}
+	var mu sync.Mutex
+	for round := range 5 {
+		proc := p.launch()
+		var wg sync.WaitGroup
+		for i := range 20 {
+			class := []string{"stock", "payment"}[i%2]
+			id := fmt.Sprintf("%s-%d-%d", class, round, i)
+			wg.Go(func() {
+				r, err := p.ask(handIn(id, class, 16000))
+				if err == nil && r.Status == 202 {
+					mu.Lock()
+					taken[id] = true
+					mu.Unlock()
+				}
+			})
+		}
+		want := len(p.ep.Received()) + round*4 // a different moment each time
+		eventually(t, "under way", func() bool { return len(p.ep.Received()) >= want })
+		proc.Process.Kill()
+		proc.exit()
+		wg.Wait()
+	}
+	p.launch()
+	eventually(t, "all at their end", func() bool {
+		for id := range taken {
+			if p.calls(id) == 0 && p.notice(id) == "" {
+				return false
+			}
+		}
+		return true
+	})
+	if len(taken) < 10 {
+		t.Errorf("only %d messages taken on: the test shows little", len(taken))
+	}
+	for _, id := range p.ep.Received() {
+		if n := p.calls(id); strings.HasPrefix(id, "payment") && n > 1 {
+			t.Errorf("%s arrived %d times", id, n)
+		}
+	}
+}
+
+// With no descriptor left the sender serves who is connected, and everybody again once there are some.
+func TestOutOfDescriptors(t *testing.T) {
+	p := newPlace(t, nil)
+	proc := p.launchBy("/bin/sh", "-c", `ulimit -n 24; exec "$0"`, os.Args[0])
+	var conns []net.Conn
+	defer func() {
+		for _, nc := range conns {
+			nc.Close()
+		}
+	}()
+	for range 40 {
+		nc, err := net.Dial("tcp", p.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, nc)
+	}
+	eventually(t, "short of descriptors", func() bool { return strings.Contains(proc.said(), "could not be accepted") })
+	if _, err := io.WriteString(conns[0], handIn("early", "stock", 16000)); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := http1.ReadResponse(bufio.NewReader(conns[0]), 1<<16); err != nil || r.Status != 202 {
+		t.Errorf("a connected client: %+v, %v", r, err)
+	}
+	for _, nc := range conns {
+		nc.Close()
+	}
+	eventually(t, "served again", func() bool {
+		r, err := p.ask(handIn("late", "stock", 16000))
+		return err == nil && (r.Status == 202 || r.Status == 409)
+	})
+	eventually(t, "delivered", func() bool { return p.calls("early") > 0 && p.calls("late") > 0 })
+}
--- a/example/toy/toy.go
+++ b/example/toy/toy.go
@@ -32,17 +32,24 @@
 	seq     int
 	hosts   []Entry
 	changed chan struct{} // closed with the next change
+	ended   chan struct{} // closed at the end, so that nobody waits on
 	notices []string
 }
 
 // NewDiscovery starts a discovery with a first list.
 func NewDiscovery(addr string, hosts ...Entry) (*Discovery, error) {
-	d := &Discovery{seq: 1, hosts: hosts, changed: make(chan struct{})}
+	d := &Discovery{seq: 1, hosts: hosts, changed: make(chan struct{}), ended: make(chan struct{})}
 	var err error
 	d.Server, err = Listen(addr, d.answer)
 	return d, err
 }
 
+// Close ends discovery; a watch that waits is broken off.
+func (d *Discovery) Close() {
+	close(d.ended)
+	d.Server.Close()
+}
+
 // Set replaces the list.
 func (d *Discovery) Set(hosts ...Entry) {
 	d.mu.Lock()
@@ -116,6 +123,7 @@
 		select {
 		case <-changed:
 			news = true
+		case <-d.ended:
 		case <-time.After(time.Duration(wait) * time.Millisecond):
 		}
 	}
