A ledger that cannot start a segment goes on in the present one

Seen by reading: without a free descriptor a new segment cannot be started (rotate), every call's record then fails, and the module, told 'not sent', spends a message's attempts within a few ticks. Now the present segment grows past its size and each write tries again. Guards against any failure to start a segment; the folder's bound still holds, as it is checked at each write.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -96,7 +96,8 @@
 	file     *os.File
 	foreign  int64 // files here that are not the ledger's
 	seq      uint64
-	passing  bool
+	passing  bool // a compaction is under way
+	stuck    bool // the last new segment could not be started
 	buf      []byte
 	stats    Stats
 	wrote    func() // for tests: called after each write
@@ -313,15 +314,8 @@
 func (l *Ledger) write(r record) error {
 	l.buf = appendRecord(l.buf[:0], r)
 	cur := l.segments[len(l.segments)-1]
-	if cur.size > 0 && cur.size+int64(len(l.buf)) > l.segMax {
-		if err := l.rotate(); err != nil {
-			return err
-		}
-		if !l.passing {
-			l.dropDead()
-			l.compact()
-			l.buf = appendRecord(l.buf[:0], r)
-		}
+	if cur.size > 0 && cur.size+int64(len(l.buf)) > l.segMax && l.turn() {
+		l.buf = appendRecord(l.buf[:0], r) // compaction used the buffer
 		cur = l.segments[len(l.segments)-1]
 	}
 	if l.used()+int64(len(l.buf))+block > l.limit {
@@ -341,6 +335,24 @@
 	return nil
 }
 
+// turn starts a new segment and drops what it can of the old ones. Where that fails, as without a free descriptor,
+// the present one grows past its size meanwhile: what is held must still be recorded.
+func (l *Ledger) turn() bool {
+	if err := l.rotate(); err != nil {
+		if !l.stuck {
+			l.log.Warn("no new ledger segment; the present one grows", "err", err)
+		}
+		l.stuck = true
+		return false
+	}
+	l.stuck = false
+	if !l.passing {
+		l.dropDead()
+		l.compact()
+	}
+	return true
+}
+
 // rotate starts a new segment.
 func (l *Ledger) rotate() error {
 	num := 1
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -268,6 +268,31 @@
 	}
 }
 
+// Where no new segment can be started, the present one takes what comes, and the next try succeeds.
+func TestNoNewSegment(t *testing.T) {
+	const limit = 1 << 20
+	dir := t.TempDir()
+	l := open(t, dir, limit)
+	blocked := filepath.Join(dir, fmt.Sprintf("%08d.seg", l.segments[len(l.segments)-1].num+1))
+	must(t, os.Mkdir(blocked, 0o700))
+	must(t, l.Take(msg("a", 10)))
+	for i := range 5000 {
+		must(t, l.Call([]string{"a"}, []int{i}, "s-1", noon))
+		must(t, l.Outcome("a", i, false))
+	}
+	if cur := l.segments[len(l.segments)-1]; !l.stuck || cur.size <= l.segMax {
+		t.Errorf("stuck %v with %d bytes: the test shows nothing", l.stuck, cur.size)
+	}
+	must(t, os.Remove(blocked))
+	must(t, l.Take(msg("b", 10)))
+	if cur := l.segments[len(l.segments)-1]; l.stuck || cur.size > l.segMax {
+		t.Errorf("afterwards: stuck %v, %d bytes in the newest segment", l.stuck, cur.size)
+	}
+	if got := len(open(t, dir, limit).Owed()); got != 2 {
+		t.Errorf("%d owed, want 2", got)
+	}
+}
+
 // Files that are not the ledger's count towards the bound and are left alone.
 func TestForeignFiles(t *testing.T) {
 	dir := t.TempDir()
