--- a/cmd/eiderhaven/main_test.go
+++ b/cmd/eiderhaven/main_test.go
@@ -423,3 +423,59 @@
 	})
 	testkit.Eventually(t, "delivered", func() bool { return p.calls("early") > 0 && p.calls("late") > 0 })
 }
+
+// A client that goes on handing in over a kept connection while the sender ends gets an answer to each request, until
+// the connection is closed between two; what was taken on is delivered by the sender or by the next process.
+func TestEndingUnderLoad(t *testing.T) {
+	p := newPlace(t, nil)
+	proc := p.launch()
+	nc, err := net.Dial("tcp", p.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	br := bufio.NewReader(nc)
+	var taken []string
+	late := 0 // of them, after the signal
+	for n := 0; ; n++ {
+		if n == 20 {
+			proc.Process.Signal(syscall.SIGTERM)
+		}
+		id := fmt.Sprintf("load-%d", n)
+		if _, err := io.WriteString(nc, handIn(id, "payment", 60000)); err != nil {
+			break
+		}
+		r, err := http1.ReadResponse(br, 1<<16)
+		if err != nil {
+			if r != nil {
+				t.Errorf("request %d: half an answer: %v", n, err)
+			}
+			break // the closing crossed the request
+		}
+		if r.Status == 202 {
+			taken = append(taken, id)
+			if n >= 20 {
+				late++
+			}
+		} else if r.Status != 429 {
+			t.Errorf("request %d: status %d", n, r.Status)
+		}
+		if r.Close {
+			break
+		}
+		time.Sleep(5 * time.Millisecond) // only paces the load
+	}
+	if code := proc.exit(); code != 0 {
+		t.Errorf("exit code %d\n%s", code, proc.said())
+	}
+	if late == 0 {
+		t.Errorf("of %d messages taken on none came after the signal", len(taken))
+	}
+	p.launch()
+	for _, id := range taken {
+		testkit.Eventually(t, id+" at its end", func() bool { return p.calls(id) > 0 || p.notice(id) != "" })
+		if got := p.calls(id); got > 1 {
+			t.Errorf("%s, which must not run twice, arrived %d times", id, got)
+		}
+	}
+}
