--- a/cmd/eiderhaven/config.go
+++ b/cmd/eiderhaven/config.go
@@ -1,3 +1,6 @@
+// This file owns the configuration: where it comes from and what it must hold. It must never supply a limit or
+// setting that the configuration lacks.
+
 package main
 
 import (
--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -1,3 +1,6 @@
+// This file owns the phases of the process, and which parts run in each. It must never end a part before those that
+// still hand it work.
+
 package main
 
 import (
--- a/example/toy/toy.go
+++ b/example/toy/toy.go
@@ -1,3 +1,5 @@
+// This file owns what discovery and an endpoint answer. It must never judge the sender: the tests do that.
+
 package toy
 
 import (
--- a/internal/exchange/counts.go
+++ b/internal/exchange/counts.go
@@ -1,3 +1,5 @@
+// This file owns the counters and the sums that hold between them. It must never be read by a decision.
+
 package exchange
 
 import (
--- a/internal/exchange/directory.go
+++ b/internal/exchange/directory.go
@@ -1,9 +1,11 @@
+// This file owns the numbers that the module knows endpoints by. It must never hand out a number twice or forget
+// one: a call to an endpoint may end long after it left the list.
+
 package exchange
 
 import "eiderhaven/rules"
 
-// directory numbers the endpoints for the module and knows how to reach them. It must never hand out a number
-// twice or forget one: a call to an endpoint may end long after it left the list.
+// directory numbers the endpoints for the module and knows how to reach them.
 type directory struct {
 	ids   map[string]rules.EndpointID
 	hosts map[rules.EndpointID]Host
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -1,3 +1,7 @@
+// This file is one step: what has come in goes to the module, what the module wants is recorded and handed out, and
+// outcomes are booked. It owns the calls that are out. It must never hand out what the ledger has not recorded, nor
+// choose between two actions.
+
 package exchange
 
 import (
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -20,7 +20,7 @@
 // Time limits towards clients.
 const (
 	clientPatience = 400 * time.Millisecond // a client goes away when it has waited so long (the protocol's figure)
-	lingering      = 200 * time.Millisecond // for a client to read the answer to what was not read, or to end its last request
+	lingering      = 200 * time.Millisecond // to read the answer to what was not read, or to end its last request
 )
 
 // Config is what a server starts from.
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -1,3 +1,6 @@
+// This file owns the form of requests and answers. It must never let a name or number into a message that the
+// endpoint side could not write again.
+
 package intake
 
 import (
@@ -11,9 +14,6 @@
 	"eiderhaven/internal/message"
 )
 
-// This file is the form of requests and answers. It must never let a name or number into a message that the
-// endpoint side could not write again.
-
 // answer is what a client is told; status 0 is nothing, as it has gone.
 type answer struct {
 	status int
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -1,3 +1,6 @@
+// This file owns the form of the records: a mark, the length and checksum of a payload, the payload. It must never
+// panic on what it reads, whatever a disk made of it.
+
 package ledger
 
 import (
@@ -9,9 +12,6 @@
 	"eiderhaven/internal/message"
 )
 
-// This file is the form of the records: a mark, the length and checksum of a payload, the payload. It must never
-// panic on what it reads, whatever a disk made of it.
-
 type kind byte
 
 const (
--- a/internal/outbound/call.go
+++ b/internal/outbound/call.go
@@ -1,3 +1,6 @@
+// This file owns the form of calls and answers on the wire. It must never give an outcome that the answer does not
+// bear out: what cannot be read counts as what may have run.
+
 package outbound
 
 import (
@@ -12,9 +15,6 @@
 	"eiderhaven/rules"
 )
 
-// This file is the form of calls and answers on the wire. It must never give an outcome that the answer does not
-// bear out: what cannot be read counts as what may have run.
-
 const (
 	maxAnswer = 64 << 10
 	maxKept   = 16 << 10 // a larger buffer is not kept for the next call
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -1,3 +1,6 @@
+// This file owns one connection to discovery and the request on it. It must never repeat a request by itself:
+// whether to ask again is for its user.
+
 package registry
 
 import (
@@ -23,7 +26,8 @@
 )
 
 // do makes a request and waits for its answer until the limit has passed or the context ends.
-func (c *client) do(ctx context.Context, limit time.Duration, method, target string, body []byte) (*http1.Response, error) {
+func (c *client) do(ctx context.Context, limit time.Duration, method, target string, body []byte) (
+	*http1.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if c.nc == nil {
--- a/internal/registry/notices.go
+++ b/internal/registry/notices.go
@@ -1,3 +1,6 @@
+// This file owns the notices that the platform has not accepted yet. It must never drop one, nor let one that
+// cannot be read hold up the others for good.
+
 package registry
 
 import (
