Idempotency keys go on to endpoints; tenants reach the module

Checked: the header lines of the first request, logged: Idempotency-Key and Req-Owner. Ruled out: id and body, which were passed on.

Change: the key is part of the message, kept in the ledger, sent on by the header of the IETF's draft or in a message's line of a call with several; the tenant's name is turned into the module's number. Without either, all is as before.

--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -83,8 +83,8 @@
 	s.notices = registry.NewNotices(cfg.discovery, log)
 	s.pool = outbound.New(outbound.Config{ConnectTimeout: cfg.settings.ConnectTimeout, KeepAlive: cfg.settings.KeepAlive,
 		MaxConns: cfg.sockets / 3, Finish: func(c *exchange.Call, r exchange.Result) { s.exchange.Finish(c, r) }})
-	s.exchange = exchange.New(exchange.Config{Settings: cfg.settings, Classes: cfg.names.Classes, Known: cfg.known,
-		Ledger: led, Caller: s.pool, Platform: platform{s.notices, s.registry.Watch}, Log: log})
+	s.exchange = exchange.New(exchange.Config{Settings: cfg.settings, Classes: cfg.names.Classes,
+		Tenants: cfg.names.Tenants, Known: cfg.known, Ledger: led, Caller: s.pool, Platform: platform{s.notices, s.registry.Watch}, Log: log})
 	s.intake = intake.New(intake.Config{Exchange: s.exchange, Ready: s.isReady, Classes: cfg.names.Classes,
 		MaxConns: cfg.sockets / 2, Slow: slowClient, Idle: idleClient, Log: log})
 	return s, nil
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -88,6 +88,7 @@
 type Config struct {
 	Settings *rules.Settings
 	Classes  []string // names, in the order of the settings
+	Tenants  []string // likewise
 	Known    Listing  // as this sender last held it
 	Ledger   *ledger.Ledger
 	Caller   Caller
@@ -106,6 +107,7 @@
 	done    chan struct{} // closed when Run has ended
 	started time.Time
 	classes map[string]int
+	tenants map[string]int
 
 	sender   *rules.Sender
 	held     map[string]*held
@@ -130,11 +132,14 @@
 // New returns an exchange that has not started. It hands the module the known list and what the ledger owes.
 func New(cfg Config) *Exchange {
 	x := &Exchange{cfg: cfg, in: make(chan func(), 1024), halt: make(chan struct{}), done: make(chan struct{}),
-		started: time.Now(), classes: map[string]int{}, sender: rules.New(*cfg.Settings), held: map[string]*held{},
+		started: time.Now(), classes: map[string]int{}, tenants: map[string]int{}, sender: rules.New(*cfg.Settings), held: map[string]*held{},
 		dir: newDirectory(), wakeAt: -1, since: -1}
 	for i, name := range cfg.Classes {
 		x.classes[name] = i
 	}
+	for i, name := range cfg.Tenants {
+		x.tenants[name] = i
+	}
 	return x
 }
 
@@ -173,7 +178,7 @@
 		before.Ago, before.At = max(0, time.Since(o.At)), x.dir.ids[o.Host]
 	}
 	x.events = append(x.events, rules.Arrived{ID: rules.MessageID(m.ID), Destination: m.Dest, Class: class,
-		TimeLeft: time.Until(m.Deadline), Before: before})
+		Tenant: x.tenants[m.Tenant], TimeLeft: time.Until(m.Deadline), Before: before})
 }
 
 // now is the module's clock.
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -65,7 +65,7 @@
 	x.held[m.ID] = h
 	x.fresh = append(x.fresh, h)
 	x.events = append(x.events, rules.Arrived{ID: rules.MessageID(m.ID), Destination: m.Dest, Class: class,
-		TimeLeft: time.Until(m.Deadline)})
+		Tenant: x.tenants[m.Tenant], TimeLeft: time.Until(m.Deadline)})
 }
 
 func (x *Exchange) retryAfter(d time.Duration) time.Duration {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -193,6 +193,7 @@
 		"no dest":            {change("dest=7", "to=7"), 400, false},
 		"dest no number":     {change("dest=7", "dest=7x"), 400, false},
 		"dest below 0":       {change("dest=7", "dest=-7"), 400, false},
+		"key with a space":   {change("Host: app.svc", "Idempotency-Key: a b"), 400, false},
 		"no envelope":        {change("Envelope: dest=7\r\n", ""), 400, false},
 	} {
 		p := s.dial()
@@ -217,6 +218,18 @@
 	}
 }
 
+// A message keeps its key and who handed it in.
+func TestKeyAndTenant(t *testing.T) {
+	s := &Server{}
+	req := &http1.Request{Header: http1.Header{{Name: "Req-Id", Value: "x"}, {Name: "Req-Kind", Value: "stock"},
+		{Name: "Req-Deadline-Ms", Value: "5"}, {Name: "Envelope", Value: "dest=7"}, {Name: "Req-Owner", Value: "till"},
+		{Name: "idempotency-key", Value: "k1"}}}
+	m, err := s.message("stock", req, nil, time.Now())
+	if err != nil || m.Key != "k1" || m.Tenant != "till" {
+		t.Errorf("got %+v, %v", m, err)
+	}
+}
+
 func TestSameNameTwice(t *testing.T) {
 	p := newSite(t, nil, nil).dial()
 	p.send(request("x"))
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -111,11 +111,15 @@
 	if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
 		return nil, fmt.Errorf("bad Req-Deadline-Ms")
 	}
+	key := req.Header.Get("Idempotency-Key")
+	if key != "" && !validName(key) {
+		return nil, fmt.Errorf("bad Idempotency-Key")
+	}
 	dest, ok := destination(req.Header.Get("Envelope"))
 	if !ok {
 		return nil, fmt.Errorf("bad Envelope")
 	}
-	return &message.Message{ID: id, Class: class, Dest: dest, Body: body,
+	return &message.Message{ID: id, Class: class, Dest: dest, Tenant: req.Header.Get("Req-Owner"), Key: key, Body: body,
 		Deadline: arrived.Add(time.Duration(ms) * time.Millisecond)}, nil
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -264,7 +264,7 @@
 // Take records a message taken on. ErrFull leaves nothing behind.
 func (l *Ledger) Take(m *message.Message) error {
 	reserve := 4 * max(l.segMax, maxRecord) // see compact: two wasted, one to copy to, one to spare
-	need := int64(len(m.Body)) + 2*block + reserve
+	need := int64(len(m.Body)+len(m.Tenant)+len(m.Key)) + 2*block + reserve
 	if l.used()+need > l.limit {
 		l.compact()
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -33,7 +33,7 @@
 }
 
 func msg(id string, size int) *message.Message {
-	return &message.Message{ID: id, Class: "stock", Dest: 7, Deadline: noon.Add(16 * time.Second),
+	return &message.Message{ID: id, Class: "stock", Dest: 7, Tenant: "till", Key: "k-" + id, Deadline: noon.Add(16 * time.Second),
 		Body: bytes.Repeat([]byte("b"), size)}
 }
 
@@ -94,7 +94,7 @@
 			w.MayRun && !g.At.Equal(w.At) {
 			t.Errorf("owed %d: got %+v, want %+v", i, g, w)
 		}
-		if m := g.Message; m.Class != "stock" || m.Dest != 7 || string(m.Body) != "bbb" ||
+		if m := g.Message; m.Class != "stock" || m.Dest != 7 || m.Tenant != "till" || m.Key != "k-"+m.ID || string(m.Body) != "bbb" ||
 			!m.Deadline.Equal(w.Message.Deadline) {
 			t.Errorf("message %s came back as %+v", m.ID, m)
 		}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -9,6 +9,8 @@
 	ID       string
 	Class    string // by the name that the settings give it
 	Dest     int
+	Tenant   string    // who hands it in, "" where that is not told
+	Key      string    // by which destinations drop repeats, "" for none
 	Deadline time.Time // when it may no longer be delivered
 	Body     []byte
 }
--- a/internal/outbound/call.go
+++ b/internal/outbound/call.go
@@ -4,6 +4,7 @@
 package outbound
 
 import (
+	"cmp"
 	"encoding/json"
 	"strconv"
 	"strings"
@@ -27,18 +28,23 @@
 	if len(call.Items) == 1 {
 		m := call.Items[0]
 		fields = append(fields, http1.Field{Name: "Req-Id", Value: m.ID})
+		if m.Key != "" {
+			fields = append(fields, http1.Field{Name: "Idempotency-Key", Value: m.Key})
+		}
 		return http1.AppendRequest(buf, "POST", "/receive", fields, m.Body)
 	}
 	return http1.AppendRequest(buf, "POST", "/receive-many", fields, frames(call.Items))
 }
 
-// frames is the body of a call with several messages: for each a line that names it and tells its length, then
+// frames is the body of a call with several messages: for each a line with its name, its key and its length, then
 // its bytes.
 func frames(list []*message.Message) []byte {
 	var body []byte
 	for _, m := range list {
 		body = append(body, m.ID...)
-		body = append(body, " - "...)
+		body = append(body, ' ')
+		body = append(body, cmp.Or(m.Key, "-")...)
+		body = append(body, ' ')
 		body = strconv.AppendInt(body, int64(len(m.Body)), 10)
 		body = append(body, "\r\n"...)
 		body = append(body, m.Body...)
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -108,6 +108,24 @@
 	}
 }
 
+// A key goes on unchanged, alone or among several messages; without one there is none.
+func TestKeysGoOn(t *testing.T) {
+	call := callTo("x", "a")
+	if text := string(appendCall(nil, call)); strings.Contains(text, "Idempotency-Key") {
+		t.Errorf("a message without a key: %q", text)
+	}
+	call.Items[0].Key = "k1"
+	if text := string(appendCall(nil, call)); !strings.Contains(text, "\r\nIdempotency-Key: k1\r\n") {
+		t.Errorf("a message with a key: %q", text)
+	}
+	call = callTo("x", "a", "b")
+	call.Items[1].Key = "k2"
+	text := string(appendCall(nil, call))
+	if !strings.Contains(text, "\r\na - 12\r\n") || !strings.Contains(text, "\r\nb k2 12\r\n") {
+		t.Errorf("several messages: %q", text)
+	}
+}
+
 func TestSeveralMessages(t *testing.T) {
 	ep, err := toy.NewEndpoint("127.0.0.1:0", func(id string, _ int) *http1.Response {
 		if id == "b" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,7 @@
 	Flavors        []string `json:"flavors"`
 	OverShareWorth float64  `json:"over_share_worth"`
 	Parties        []struct {
+		Name  string  `json:"name"`
 		Quota float64 `json:"quota_per_s"`
 	} `json:"parties"`
 	RegistryMode string `json:"registry_mode"`
@@ -79,6 +80,7 @@
 	Classes []string
 	Kinds   []string
 	Zones   []string
+	Tenants []string
 }
 
 // Decode reads a settings object: what the module needs, and the names behind its numbers.
@@ -127,6 +129,7 @@
 	}
 	for _, p := range e.Parties {
 		s.Tenants = append(s.Tenants, rules.Tenant{Quota: p.Quota})
+		names.Tenants = append(names.Tenants, p.Name)
 	}
 	return s, names, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,7 +39,7 @@
 		s.Classes[1].Deadline != 16*time.Second {
 		t.Errorf("classes: %+v", s.Classes)
 	}
-	if fmt.Sprint(*names) != "{[stock payment] [any] [here]}" {
+	if fmt.Sprint(*names) != "{[stock payment] [any] [here] []}" {
 		t.Errorf("names: %v", *names)
 	}
 }
