SIGHUP rereads the configuration; watch and notices follow discovery at once

Checked: main.go caught SIGTERM, SIGINT and SIGUSR1 only; registry.New and NewNotices kept the address of the start for good (client.addr). Ruled out: a restart after a reload, where LB_DISCOVERY already names the place of that time (logs of both nodes).

The address of discovery is now a value that may move; what waits at the old place is broken off, the new one is asked for its whole list, and neither counts as a failure. The file's word wins over LB_DISCOVERY; a bad file changes nothing.

--- a/cmd/eiderhaven/config.go
+++ b/cmd/eiderhaven/config.go
@@ -1,5 +1,5 @@
-// This file owns the configuration: where it comes from and what it must hold. It must never supply a limit or
-// setting that the configuration lacks.
+// This file owns the configuration: where it comes from, at the start and when it is read again, and what it must
+// hold. It must never supply a limit or setting that the configuration lacks.
 
 package main
 
@@ -28,7 +28,6 @@
 	settings *rules.Settings
 	names    *settings.Names
 	known    exchange.Listing
-	knownSeq int64
 }
 
 // configFile is the form of the file that LB_CONFIG names.
@@ -88,12 +87,23 @@
 	if len(c.settings.Classes) == 0 || c.settings.Slots < 1 || c.settings.MaxHeld < 1 || c.settings.Tick <= 0 {
 		return nil, fmt.Errorf("%s: settings lack classes, slots, room or a tick", path)
 	}
-	if c.knownSeq, c.known, err = registry.Parse(f.Known, c.names); err != nil {
+	if _, c.known, err = registry.Parse(f.Known, c.names); err != nil {
 		return nil, fmt.Errorf("%s: known: %w", path, err)
 	}
 	return c, nil
 }
 
+// reloadConfig reads the configuration again. The address of discovery in the environment is the one at the start:
+// now the file's word wins.
+func reloadConfig(getenv func(string) string) (*config, error) {
+	return loadConfig(func(name string) string {
+		if name == "LB_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
 func (c *config) check() error {
 	for _, addr := range []string{c.listen, c.discovery} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
--- a/cmd/eiderhaven/main.go
+++ b/cmd/eiderhaven/main.go
@@ -24,6 +24,8 @@
 func run() error {
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	hangups := make(chan os.Signal, 1) // one that waits stands for all: the file is read when it is taken up
+	signal.Notify(hangups, syscall.SIGHUP)
 	cfg, err := loadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -35,5 +37,5 @@
 	if err != nil {
 		return err
 	}
-	return s.run(signals)
+	return s.run(signals, hangups)
 }
--- a/cmd/eiderhaven/main_test.go
+++ b/cmd/eiderhaven/main_test.go
@@ -479,3 +479,84 @@
 		}
 	}
 }
+
+// rewrite changes one key of the configuration.
+func (p *place) rewrite(key string, value any) {
+	p.t.Helper()
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	var c map[string]any
+	if err := json.Unmarshal(text, &c); err != nil {
+		p.t.Fatal(err)
+	}
+	c[key] = value
+	if text, err = json.Marshal(c); err != nil {
+		p.t.Fatal(err)
+	}
+	if err := os.WriteFile(p.config, text, 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// Told to read its configuration again, the sender follows the discovery named there, though the environment names
+// the one at its start; calls and notices go by the new one, also while it drains. A bad file changes nothing.
+func TestConfigurationReadAgain(t *testing.T) {
+	p := newPlace(t, nil)
+	t.Setenv("LB_DISCOVERY", p.disc.Addr())
+	ep, err := toy.NewEndpoint("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ep.Close()
+	entry := toy.Entry{Host: "s-2", Dial: ep.Addr(), Site: "here", Class: "any", Block: 7, Health: "Ready"}
+	second, err := toy.NewDiscovery("127.0.0.1:0", entry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	proc := p.launch()
+	p.handIn("before", "stock", 16000)
+	testkit.Eventually(t, "delivered by the first list", func() bool { return p.calls("before") == 1 })
+
+	text, err := os.ReadFile(p.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(p.config, text[:len(text)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	proc.Process.Signal(syscall.SIGHUP)
+	testkit.Eventually(t, "told of the bad file", func() bool { return strings.Contains(proc.said(), "cannot be used") })
+	p.handIn("still", "stock", 16000)
+	testkit.Eventually(t, "delivered by the old list", func() bool { return p.calls("still") == 1 })
+
+	if err := os.WriteFile(p.config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.rewrite("discovery", second.Addr())
+	proc.Process.Signal(syscall.SIGHUP)
+	testkit.Eventually(t, "gone from the old address", func() bool { return second.Opened() > 0 && p.disc.Open() == 0 })
+	testkit.Eventually(t, "delivered by the new list", func() bool {
+		p.handIn(fmt.Sprint("after-", time.Now().UnixNano()), "stock", 16000)
+		return len(ep.Received()) > 0
+	})
+	second.Set() // nobody serves the destination any more
+	p.handIn("late", "stock", 300)
+	testkit.Eventually(t, "notice to the new address", func() bool { return strings.Contains(fmt.Sprint(second.Notices()), `"late"`) })
+
+	nc, err := net.Dial("tcp", p.listen) // keeps the sender from ending early
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	proc.Process.Signal(syscall.SIGTERM)
+	testkit.Eventually(t, "draining", func() bool { return strings.Contains(proc.said(), "is=draining") })
+	p.rewrite("discovery", p.disc.Addr())
+	proc.Process.Signal(syscall.SIGHUP)
+	testkit.Eventually(t, "back at the first address", func() bool { return p.disc.Open() > 0 })
+	if code := proc.exit(); code != 0 {
+		t.Errorf("exit code %d\n%s", code, proc.said())
+	}
+}
--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -56,6 +56,7 @@
 	exchange *exchange.Exchange
 	pool     *outbound.Pool
 	intake   *intake.Server
+	where    *registry.Address
 	registry *registry.Registry
 	notices  *registry.Notices
 	listener net.Listener
@@ -79,8 +80,9 @@
 		return nil, err
 	}
 	s.ledger = led
-	s.registry = registry.New(cfg.discovery, cfg.knownSeq, cfg.names, log)
-	s.notices = registry.NewNotices(cfg.discovery, log)
+	s.where = registry.NewAddress(cfg.discovery)
+	s.registry = registry.New(s.where, cfg.names, log)
+	s.notices = registry.NewNotices(s.where, log)
 	s.pool = outbound.New(outbound.Config{ConnectTimeout: cfg.settings.ConnectTimeout, KeepAlive: cfg.settings.KeepAlive,
 		MaxConns: cfg.sockets / 3, Finish: func(c *exchange.Call, r exchange.Result) { s.exchange.Finish(c, r) }})
 	s.exchange = exchange.New(exchange.Config{Settings: cfg.settings, Classes: cfg.names.Classes,
@@ -101,9 +103,9 @@
 }
 
 // run takes the service through its phases.
-func (s *service) run(signals <-chan os.Signal) error {
+func (s *service) run(signals, hangups <-chan os.Signal) error {
 	s.enter(recovering)
-	if err := s.recover(); err != nil {
+	if err := s.recover(hangups); err != nil {
 		return err
 	}
 	s.enter(ready)
@@ -118,9 +120,10 @@
 
 // recover starts the parts and hands the module what is owed. The first list is waited for, but not long: calls to
 // endpoints that have gone meanwhile fail, a late sender fails everything.
-func (s *service) recover() error {
+func (s *service) recover(hangups <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
+	s.wg.Go(func() { s.heed(ctx, hangups) })
 	s.wg.Go(func() { s.registry.Run(ctx, s.exchange) })
 	s.wg.Go(func() { s.notices.Run(ctx, s.exchange) })
 	select {
@@ -138,6 +141,29 @@
 	return nil
 }
 
+// heed reads the configuration again on each hangup, in whatever phase, until the parts end.
+func (s *service) heed(ctx context.Context, hangups <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			s.reload()
+		}
+	}
+}
+
+// reload takes up the address of discovery that the configuration names now; everything else in it holds from the
+// next start. What cannot be used changes nothing.
+func (s *service) reload() {
+	next, err := reloadConfig(os.Getenv)
+	if err != nil {
+		s.log.Error("the new configuration cannot be used; the old one stays", "err", err)
+		return
+	}
+	s.log.Info("configuration read again", "discovery", next.discovery, "moved", s.where.Move(next.discovery))
+}
+
 // await returns when the service is told to end.
 func (s *service) await(signals <-chan os.Signal) {
 	for sig := range signals {
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -1,23 +1,69 @@
-// This file owns one connection to discovery and the request on it. It must never repeat a request by itself:
-// whether to ask again is for its user.
+// This file owns where discovery is, one connection to it and the request on it. It must never repeat a request by
+// itself: whether to ask again is for its user.
 
 package registry
 
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"sync"
 	"time"
 
 	"eiderhaven/internal/http1"
 )
 
+// Address is where discovery is. It may move while requests wait there.
+type Address struct {
+	mu    sync.Mutex
+	place *place
+}
+
+// place is one stay at an address.
+type place struct {
+	addr string
+	stay context.Context // done once discovery has moved
+	end  context.CancelFunc
+}
+
+func newPlace(addr string) *place {
+	p := &place{addr: addr}
+	p.stay, p.end = context.WithCancel(context.Background())
+	return p
+}
+
+// NewAddress returns an address that may move.
+func NewAddress(addr string) *Address { return &Address{place: newPlace(addr)} }
+
+// Move makes another address discovery's and breaks off what waits at the old one. It is false if there is nothing
+// to move.
+func (a *Address) Move(addr string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.place.addr == addr {
+		return false
+	}
+	a.place.end()
+	a.place = newPlace(addr)
+	return true
+}
+
+func (a *Address) now() *place {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.place
+}
+
+// errMoved ends a request at an address that is no longer discovery's. Nothing has failed: the new one is to be asked.
+var errMoved = errors.New("discovery has moved")
+
 // client makes one request at a time over a connection that it keeps. It must never be used by two goroutines.
 type client struct {
-	addr string
-	nc   net.Conn
-	br   *bufio.Reader
-	buf  []byte
+	at  *place // of the connection
+	nc  net.Conn
+	br  *bufio.Reader
+	buf []byte
 }
 
 const (
@@ -25,24 +71,39 @@
 	maxList      = 4 << 20 // bytes of the longest list that is read
 )
 
-// do makes a request and waits for its answer until the limit has passed or the context ends.
-func (c *client) do(ctx context.Context, limit time.Duration, method, target string, body []byte) (
+// do makes a request at a place and waits for its answer until the limit has passed, the context ends or discovery
+// moves.
+func (c *client) do(ctx context.Context, at *place, limit time.Duration, method, target string, body []byte) (
 	*http1.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	defer context.AfterFunc(at.stay, cancel)()
+	resp, err := c.send(ctx, at, http1.AppendRequest(c.buf[:0], method, target, http1.Header{{Name: "Host", Value: at.addr}}, body))
+	if at.stay.Err() != nil {
+		c.close()
+		return nil, errMoved
+	}
+	return resp, err
+}
+
+// send writes the request on the connection kept, or on a new one.
+func (c *client) send(ctx context.Context, at *place, request []byte) (*http1.Response, error) {
+	c.buf = request
+	if c.at != at {
+		c.close()
+	}
 	if c.nc == nil {
 		d := net.Dialer{Timeout: connectLimit, KeepAlive: -1}
-		nc, err := d.DialContext(ctx, "tcp", c.addr)
+		nc, err := d.DialContext(ctx, "tcp", at.addr)
 		if err != nil {
 			return nil, err
 		}
-		c.nc, c.br = nc, bufio.NewReaderSize(nc, 4096)
+		c.at, c.nc, c.br = at, nc, bufio.NewReaderSize(nc, 4096)
 	}
 	c.nc.SetDeadline(time.Time{})
 	nc := c.nc
 	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	c.buf = http1.AppendRequest(c.buf[:0], method, target, http1.Header{{Name: "Host", Value: c.addr}}, body)
 	resp, err := c.exchange()
 	if err != nil || resp.Close || c.br.Buffered() > 0 || !stop() {
 		c.close()
--- a/internal/registry/notices.go
+++ b/internal/registry/notices.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 // Notices delivers notices to the platform, several at once where they queue up, until each was accepted.
 type Notices struct {
 	log     *slog.Logger
+	where   *Address
 	client  client
 	mu      sync.Mutex
 	queue   []ledger.Notice
@@ -32,8 +34,8 @@
 )
 
 // NewNotices returns a queue that has not started.
-func NewNotices(addr string, log *slog.Logger) *Notices {
-	return &Notices{log: log, client: client{addr: addr}, more: make(chan struct{}, 1), batch: maxBatch}
+func NewNotices(where *Address, log *slog.Logger) *Notices {
+	return &Notices{log: log, where: where, more: make(chan struct{}, 1), batch: maxBatch}
 }
 
 // Tell queues a notice. It does not wait.
@@ -67,12 +69,16 @@
 			}
 			continue
 		}
-		if n.post(ctx, list, sink) {
+		at := n.where.now()
+		if n.post(ctx, at, list, sink) {
 			pause = firstPause
 			continue
 		}
 		select {
 		case <-ctx.Done():
+		case <-at.stay.Done(): // at once where discovery is now
+			pause = firstPause
+			continue
 		case <-time.After(pause):
 		}
 		pause = min(2*pause, maxPause)
@@ -92,8 +98,8 @@
 
 // post delivers one batch. One that was not accepted goes back to the end of the queue; where the platform could
 // not read it, notices go one by one from then on, so that a bad one does not hold up the others.
-func (n *Notices) post(ctx context.Context, list []ledger.Notice, sink Sink) bool {
-	resp, err := n.client.do(ctx, noticeLimit, "POST", "/status", encode(list))
+func (n *Notices) post(ctx context.Context, at *place, list []ledger.Notice, sink Sink) bool {
+	resp, err := n.client.do(ctx, at, noticeLimit, "POST", "/status", encode(list))
 	if err == nil && resp.Status == 204 {
 		ids := make([]string, len(list))
 		for i, one := range list {
@@ -105,7 +111,7 @@
 		n.mu.Unlock()
 		return true
 	}
-	if n.Failed.Add(1) == 1 {
+	if !errors.Is(err, errMoved) && n.Failed.Add(1) == 1 {
 		n.log.Warn("a notice was not accepted; further failures are only counted", "err", err)
 	}
 	n.mu.Lock()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -37,20 +38,21 @@
 
 // Registry follows the list of endpoints.
 type Registry struct {
-	names  *settings.Names
-	log    *slog.Logger
-	client client
-	seq    int64
-	nudge  chan struct{}
-	heard  chan struct{} // closed at the first list
-	Lists  atomic.Int64
-	Failed atomic.Int64
+	names   *settings.Names
+	log     *slog.Logger
+	where   *Address
+	client  client
+	seq     int64  // of the list last heard
+	heardAt *place // where that was
+	nudge   chan struct{}
+	heard   chan struct{} // closed at the first list
+	Lists   atomic.Int64
+	Failed  atomic.Int64
 }
 
-// New returns a registry client that has not started. seq is the version of the list that the sender holds.
-func New(addr string, seq int64, names *settings.Names, log *slog.Logger) *Registry {
-	return &Registry{names: names, log: log, client: client{addr: addr}, seq: seq, nudge: make(chan struct{}, 1),
-		heard: make(chan struct{})}
+// New returns a registry client that has not started.
+func New(where *Address, names *settings.Names, log *slog.Logger) *Registry {
+	return &Registry{names: names, log: log, where: where, nudge: make(chan struct{}, 1), heard: make(chan struct{})}
 }
 
 // Heard is closed when the first list has come.
@@ -74,6 +76,9 @@
 			continue
 		} else if ctx.Err() != nil {
 			return
+		} else if errors.Is(err, errMoved) {
+			pause = firstPause
+			continue
 		} else if r.Failed.Add(1) == 1 {
 			r.log.Warn("discovery could not be heard; further failures are only counted", "err", err)
 		}
@@ -81,20 +86,22 @@
 		select {
 		case <-ctx.Done():
 		case <-r.nudge:
+		case <-r.where.now().stay.Done():
 		case <-time.After(pause):
 		}
 		pause = min(2*pause, maxPause)
 	}
 }
 
-// ask makes one call: for the whole list at first, then for what has changed since.
+// ask makes one call: for the whole list at first and wherever discovery has moved to, as versions there may be
+// counted anew; then for what has changed since.
 func (r *Registry) ask(ctx context.Context, sink Sink) error {
-	target, limit := "/registry/instances", listLimit
-	if r.Lists.Load() > 0 {
+	at, target, limit := r.where.now(), "/registry/instances", listLimit
+	if r.heardAt == at {
 		target = fmt.Sprintf("%s?after=%d&wait_ms=%d", target, r.seq, watchWait.Milliseconds())
 		limit = watchWait + watchGrace
 	}
-	resp, err := r.client.do(ctx, limit, "GET", target, nil)
+	resp, err := r.client.do(ctx, at, limit, "GET", target, nil)
 	if err != nil {
 		return err
 	}
@@ -105,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	r.seq = seq
+	r.seq, r.heardAt = seq, at
 	if listing.Whole || len(listing.Hosts) > 0 {
 		sink.List(listing)
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -108,7 +108,7 @@
 		t.Fatal(err)
 	}
 	defer d.Close()
-	r, s := New(d.Addr(), 0, names, quiet), newSink()
+	r, s := New(NewAddress(d.Addr()), names, quiet), newSink()
 	start(t, func(ctx context.Context) { r.Run(ctx, s) })
 	if l := testkit.Next(t, s.lists, "first list"); !l.Whole || len(l.Hosts) != 1 {
 		t.Errorf("first list: %+v", l)
@@ -143,7 +143,7 @@
 	}
 	defer srv.Close()
 	s := newSink()
-	start(t, func(ctx context.Context) { New(srv.Addr(), 0, names, quiet).Run(ctx, s) })
+	start(t, func(ctx context.Context) { New(NewAddress(srv.Addr()), names, quiet).Run(ctx, s) })
 	if got := testkit.Next(t, targets, "call"); got != "/registry/instances" {
 		t.Errorf("first call: %s", got)
 	}
@@ -178,7 +178,7 @@
 	}
 	defer srv.Close()
 	defer close(end)
-	r, s := New(srv.Addr(), 0, names, quiet), newSink()
+	r, s := New(NewAddress(srv.Addr()), names, quiet), newSink()
 	start(t, func(ctx context.Context) { r.Run(ctx, s) })
 	testkit.Next(t, s.lists, "first list")
 	for range len(garbage) + 2 {
@@ -213,7 +213,7 @@
 		t.Fatal(err)
 	}
 	defer srv.Close()
-	n, s := NewNotices(srv.Addr(), quiet), newSink()
+	n, s := NewNotices(NewAddress(srv.Addr()), quiet), newSink()
 	n.Tell(ledger.Notice{ID: "a", Dead: true, Wait: time.Second})
 	n.Tell(ledger.Notice{ID: "b", Wait: 500 * time.Millisecond})
 	start(t, func(ctx context.Context) { n.Run(ctx, s) })
@@ -240,7 +240,7 @@
 		t.Fatal(err)
 	}
 	defer srv.Close()
-	n, s := NewNotices(srv.Addr(), quiet), newSink()
+	n, s := NewNotices(NewAddress(srv.Addr()), quiet), newSink()
 	for _, id := range []string{"bad", "x", "y"} {
 		n.Tell(ledger.Notice{ID: id})
 	}
@@ -251,3 +251,69 @@
 		}
 	}
 }
+
+// When discovery moves, the watch that waits at the old address is dropped, the new one is asked for its whole list,
+// whatever versions it counts in, and nothing is told as failed. What moves back is asked for all of it again.
+func TestDiscoveryMoves(t *testing.T) {
+	var places [2]*toy.Discovery
+	for i, host := range []string{"a", "b"} {
+		d, err := toy.NewDiscovery("127.0.0.1:0", toy.Entry{Host: host, Dial: "127.0.0.1:9000", Block: 3, Health: "Ready"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer d.Close()
+		places[i] = d
+	}
+	where, s := NewAddress(places[0].Addr()), newSink()
+	r := New(where, names, quiet)
+	start(t, func(ctx context.Context) { r.Run(ctx, s) })
+	testkit.Next(t, s.lists, "first list")
+	for i, want := range []string{"b", "a"} {
+		testkit.Eventually(t, "a watch that waits", func() bool { return places[i].Open() == 1 })
+		if !where.Move(places[1-i].Addr()) {
+			t.Fatal("discovery does not move")
+		}
+		if l := testkit.Next(t, s.lists, "list after the move"); !l.Whole || len(l.Hosts) != 1 || l.Hosts[0].Name != want {
+			t.Errorf("after the move: %+v, want all of %s", l, want)
+		}
+		testkit.Eventually(t, "gone from the old address", func() bool { return places[i].Open() == 0 })
+	}
+	if n := len(s.failed) + int(r.Failed.Load()); n != 0 {
+		t.Errorf("moving counts as %d failures", n)
+	}
+	if where.Move(places[0].Addr()) {
+		t.Error("moves to where it is")
+	}
+}
+
+// A notice that waits at the old address goes to the new one.
+func TestNoticesMove(t *testing.T) {
+	asked, release := make(chan string, 1), make(chan struct{})
+	old, err := toy.Listen("127.0.0.1:0", func(*http1.Request, []byte) *http1.Response {
+		asked <- "old"
+		<-release
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	defer close(release)
+	d, err := toy.NewDiscovery("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	where, s := NewAddress(old.Addr()), newSink()
+	n := NewNotices(where, quiet)
+	n.Tell(ledger.Notice{ID: "a"})
+	start(t, func(ctx context.Context) { n.Run(ctx, s) })
+	testkit.Next(t, asked, "post to the old address")
+	where.Move(d.Addr())
+	if ids := testkit.Next(t, s.noticed, "word of acceptance"); len(ids) != 1 || ids[0] != "a" || len(d.Notices()) != 1 {
+		t.Errorf("accepted %v, told to the new address: %v", ids, d.Notices())
+	}
+	if n.Failed.Load() != 0 {
+		t.Error("moving counts as a failure")
+	}
+}
