Spoilt answers count as what may have run and free their slot; empty codings refused

Now only a 200 to a call with one message stands by its first line; a begun answer has 0.5 s for the rest; the socket is looked at once more before a call is written; interim answers are 16 at most; any coding is refused, connection closed.

--- a/example/toy/server.go
+++ b/example/toy/server.go
@@ -17,7 +17,7 @@
 // Server answers requests on one address.
 type Server struct {
 	ln     net.Listener
-	handle Handler
+	serve  func(net.Conn)
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 	opened int
@@ -27,11 +27,16 @@
 
 // Listen starts a server; a port of 0 is any free one.
 func Listen(addr string, handle Handler) (*Server, error) {
+	return ListenRaw(addr, handle.serve)
+}
+
+// ListenRaw starts a server that leaves what passes on each connection to serve, and closes it afterwards.
+func ListenRaw(addr string, serve func(net.Conn)) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ln: ln, handle: handle, conns: map[net.Conn]bool{}}
+	s := &Server{ln: ln, serve: serve, conns: map[net.Conn]bool{}}
 	s.wg.Go(s.accept)
 	return s, nil
 }
@@ -84,19 +89,24 @@
 		} else {
 			s.opened++
 			s.conns[nc] = true
-			s.wg.Go(func() { s.serve(nc) })
+			s.wg.Go(func() { s.keep(nc) })
 		}
 		s.mu.Unlock()
 	}
 }
 
-func (s *Server) serve(nc net.Conn) {
+func (s *Server) keep(nc net.Conn) {
 	defer func() {
 		nc.Close()
 		s.mu.Lock()
 		delete(s.conns, nc)
 		s.mu.Unlock()
 	}()
+	s.serve(nc)
+}
+
+// serve answers requests until the connection ends.
+func (handle Handler) serve(nc net.Conn) {
 	br := bufio.NewReader(nc)
 	for {
 		req, err := http1.ReadRequest(br)
@@ -107,7 +117,7 @@
 		if err != nil {
 			return
 		}
-		resp := s.handle(req, body)
+		resp := handle(req, body)
 		if resp == nil {
 			return
 		}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -18,6 +19,8 @@
 	MaxHead   = 16 << 10 // bytes of a head, its lines together
 	MaxFields = 64       // header lines
 	MaxBody   = 64 << 10 // bytes of a message's body
+
+	MaxInterim = 16 // answers (1xx) ahead of the real one
 )
 
 // Error is a fault in what a peer sent. Status is what a server answers to it.
@@ -48,6 +51,11 @@
 	return ""
 }
 
+// has tells whether there is a field of that name, whatever its value.
+func (h Header) has(name string) bool {
+	return slices.ContainsFunc(h, func(f Field) bool { return strings.EqualFold(f.Name, name) })
+}
+
 // lists tells whether a comma-separated field holds a token.
 func (h Header) lists(name, token string) bool {
 	for _, f := range h {
@@ -104,7 +112,9 @@
 	if r.Header, err = readHeader(br, &room); err != nil {
 		return nil, noEOF(err)
 	}
-	if r.Header.Get("Transfer-Encoding") != "" {
+	// Any such field, empty or not: another reader might go by a coding where this one goes by a length, and take a part
+	// of the body for a request of its own.
+	if r.Header.has("Transfer-Encoding") {
 		return nil, &Error{Status: 501, Msg: "transfer codings are not supported"}
 	}
 	if r.Length, _, err = contentLength(r.Header); err != nil {
@@ -125,18 +135,19 @@
 	return body, noEOF(err)
 }
 
-// ReadResponse reads an answer with a body of at most most bytes. If the first line came and what follows it
-// did not, the response is returned with the error: its status holds all the same.
+// ReadResponse reads an answer with a body of at most most bytes, past the interim ones ahead of it.
 func ReadResponse(br *bufio.Reader, most int) (*Response, error) {
-	for {
-		r, err := readResponse(br, most)
-		if err != nil || r.Status >= 200 { // an interim answer comes before the real one
+	for range MaxInterim + 1 {
+		if r, err := ReadPart(br, most); err != nil || r.Status >= 200 {
 			return r, err
 		}
 	}
+	return nil, malformed("too many interim answers")
 }
 
-func readResponse(br *bufio.Reader, most int) (*Response, error) {
+// ReadPart reads one answer, which may be an interim one. If the first line came and what follows it did not, the
+// response is returned with the error, so that its status can be told.
+func ReadPart(br *bufio.Reader, most int) (*Response, error) {
 	room := MaxHead
 	line, err := readLine(br, &room)
 	if err != nil {
@@ -164,7 +175,7 @@
 }
 
 func (r *Response) readBody(br *bufio.Reader, most int) error {
-	if r.Header.Get("Transfer-Encoding") != "" {
+	if r.Header.has("Transfer-Encoding") {
 		r.Close = true
 		return malformed("transfer codings are not supported")
 	}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -73,6 +73,9 @@
 		"length over 64 KiB":  {"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413},
 		"length over 64 bits": {"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 413},
 		"chunked":             {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 501},
+		"empty coding":        {"POST / HTTP/1.1\r\nTransfer-Encoding:\r\nContent-Length: 1\r\n\r\nx", 501},
+		"coding, second line": {"POST / HTTP/1.1\r\nTransfer-Encoding:\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", 501},
+		"coding and length":   {"POST / HTTP/1.1\r\nContent-Length: 5\r\ntransfer-encoding: identity\r\n\r\n0\r\n\r\n", 501},
 		"head too long":       {"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", MaxHead) + "\r\n\r\n", 400},
 		"line without end":    {strings.Repeat("x", MaxHead+1), 400},
 		"too many lines":      {"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", MaxFields+1) + "\r\n", 400},
@@ -85,6 +88,17 @@
 	}
 }
 
+// Interim answers are skipped, but not without end.
+func TestInterimAnswersAreBounded(t *testing.T) {
+	const interim, last = "HTTP/1.1 102 Processing\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	if r, err := parseResponse(strings.Repeat(interim, MaxInterim) + last); err != nil || r.Status != 200 {
+		t.Errorf("%d interim answers: %+v, %v", MaxInterim, r, err)
+	}
+	if r, err := parseResponse(strings.Repeat(interim, MaxInterim+1) + last); err == nil {
+		t.Errorf("%d interim answers: %+v, want an error", MaxInterim+1, r)
+	}
+}
+
 func TestCutRequests(t *testing.T) {
 	whole := "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
 	for n := range len(whole) {
--- a/internal/outbound/call.go
+++ b/internal/outbound/call.go
@@ -62,15 +62,21 @@
 	return out
 }
 
-// outcomes reads an answer. lost is the outcome where none came: it may have run.
+// outcomes reads an answer. lost is the outcome where none came: it may have run. So may what got a spoilt answer,
+// whatever its first line says: a refusal that cannot be read whole proves nothing. Only a 200 to a call with one
+// message stands.
 func outcomes(call *exchange.Call, resp *http1.Response, err error, lost rules.Outcome) []exchange.ItemResult {
-	if resp == nil || err != nil && len(call.Items) > 1 {
+	single := len(call.Items) == 1
+	switch {
+	case resp != nil && err != nil && single && resp.Status == 200:
+		return same(call, exchange.ItemResult{Outcome: rules.OK})
+	case resp == nil || err != nil:
 		return same(call, exchange.ItemResult{Outcome: lost})
 	}
 	r := exchange.ItemResult{Wait: told(resp.Header), Report: report(resp.Header)}
 	switch resp.Status {
 	case 200:
-		if len(call.Items) > 1 {
+		if !single {
 			return each(call, string(resp.Body), r)
 		}
 		r.Outcome = rules.OK
@@ -87,37 +93,53 @@
 		r.Outcome, r.Over = rules.NotSent, true
 	default:
 		r.Outcome = rules.Errored
-		if len(call.Items) > 1 && (resp.Status == 400 || resp.Status == 413) {
+		if !single && (resp.Status == 400 || resp.Status == 413) {
 			r.Outcome = rules.NotSent
 		}
 	}
 	return same(call, r)
 }
 
-// each reads the answer to a call with several messages: a line each. One without a line may have run.
+// end is what the word in an answer to several messages says of one of them.
+func end(word string) (r exchange.ItemResult, known bool) {
+	switch word {
+	case "accepted":
+		return exchange.ItemResult{Outcome: rules.OK}, true
+	case "fault":
+		return exchange.ItemResult{Outcome: rules.Errored}, true
+	case "deferred":
+		return exchange.ItemResult{Outcome: rules.Full}, true
+	case "expired":
+		return exchange.ItemResult{Outcome: rules.NotSent, Over: true}, true
+	case "no_more":
+		return exchange.ItemResult{Outcome: rules.NotSent}, true
+	}
+	return exchange.ItemResult{}, false
+}
+
+// each reads the answer to a call with several messages: a line for each. If any line cannot be read, names no message
+// of the call or one twice, or is missing, the answer is spoilt and all of them may have run.
 func each(call *exchange.Call, body string, common exchange.ItemResult) []exchange.ItemResult {
-	ends := map[string]string{}
+	lost := common
+	lost.Outcome = rules.Reset
+	told := map[string]string{}
 	for line := range strings.Lines(body) {
-		if words := strings.Fields(line); len(words) == 2 {
-			ends[words[0]] = words[1]
+		words := strings.Fields(line)
+		if len(words) != 2 || told[words[0]] != "" {
+			return same(call, lost)
 		}
+		told[words[0]] = words[1]
 	}
 	out := same(call, common)
 	for i, m := range call.Items {
-		switch ends[m.ID] {
-		case "accepted":
-			out[i].Outcome = rules.OK
-		case "fault":
-			out[i].Outcome = rules.Errored
-		case "deferred":
-			out[i].Outcome = rules.Full
-		case "expired":
-			out[i].Outcome, out[i].Over = rules.NotSent, true
-		case "no_more":
-			out[i].Outcome = rules.NotSent
-		default:
-			out[i].Outcome = rules.Reset
+		r, known := end(told[m.ID])
+		if !known {
+			return same(call, lost)
 		}
+		out[i].Outcome, out[i].Over = r.Outcome, r.Over
+	}
+	if len(told) != len(call.Items) {
+		return same(call, lost)
 	}
 	return out
 }
@@ -131,11 +153,16 @@
 	return time.Duration(min(ms, float64(time.Hour/time.Millisecond)) * float64(time.Millisecond))
 }
 
-// report is what an answer tells of the destination's limit.
+// report is what an answer tells of the destination's limit. One that cannot be read whole tells nothing.
 func report(h http1.Header) rules.Report {
 	var fields map[string]float64
 	if text := h.Get("Srv-Load"); text == "" || json.Unmarshal([]byte(text), &fields) != nil {
 		return rules.Report{}
 	}
+	for _, v := range fields {
+		if v < 0 {
+			return rules.Report{}
+		}
+	}
 	return rules.Report{Left: fields["x0"], Limit: fields["x1"]}
 }
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"eiderhaven/internal/exchange"
@@ -58,6 +59,11 @@
 	undial context.CancelFunc
 }
 
+// answerLimit is how long an answer may take from its first byte to its last.
+const answerLimit = 500 * time.Millisecond
+
+var errEndless = errors.New("too many interim answers")
+
 // longAgo as a deadline ends a blocked read or write at once.
 var longAgo = time.Unix(1, 0)
 
@@ -82,6 +88,20 @@
 	return !j.given
 }
 
+// limit ends the reading of an answer after this time, 0 for never, unless the call has been given up.
+func (j *job) limit(after time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.given || j.nc == nil {
+		return
+	}
+	var at time.Time
+	if after > 0 {
+		at = time.Now().Add(after)
+	}
+	j.nc.SetReadDeadline(at)
+}
+
 func (j *job) givenUp() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -236,7 +256,44 @@
 		p.drop(dial, c)
 		return nil, false
 	}
-	return next, errors.Is(err, os.ErrDeadlineExceeded) && time.Since(c.since) < p.cfg.KeepAlive
+	return next, errors.Is(err, os.ErrDeadlineExceeded) && time.Since(c.since) < p.cfg.KeepAlive && c.silent()
+}
+
+// silent tells whether nothing has come on an idle connection. The read that was made to time out may have left bytes
+// or an end in the kernel: what lies there when a call is written would be taken for its answer. Guards against a
+// second copy of an answer and noise behind one; what arrives later still cannot be told from an answer.
+func (c *conn) silent() bool {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && quiet
+}
+
+// answer waits for the answer to a call. Once one has begun, the rest must follow soon: a peer that stops halfway, or
+// never comes to an end, would otherwise keep a slot until the message is out of time. An interim answer promises
+// nothing about when the real one comes.
+func (c *conn) answer(j *job) (*http1.Response, error) {
+	for range http1.MaxInterim + 1 {
+		if _, err := c.br.Peek(1); err != nil {
+			return nil, err
+		}
+		j.limit(answerLimit)
+		if resp, err := http1.ReadPart(c.br, maxAnswer); err != nil || resp.Status >= 200 {
+			return resp, err
+		}
+		j.limit(0)
+	}
+	return nil, errEndless
 }
 
 // do makes one call and hands in its result. It tells whether the connection can be used again.
@@ -252,7 +309,7 @@
 		p.finish(j, rules.ConnectError)
 		return false
 	}
-	resp, err := http1.ReadResponse(c.br, maxAnswer)
+	resp, err := c.answer(j)
 	j.attach(nil, nil)
 	lost := rules.Reset
 	if j.givenUp() {
