Clients of no use make room and are cut off in 2 s; gone endpoints and their connections forgotten

Seen by reading, confirmed by tests that fail on the old code: a silent client kept its connection 2 min, a slow first request 5 s from its first byte, and makeRoom closed whoever was idle longest, a good client as well, or waited where all were within a head (intake.go). An id just ended was taken on again (step.go, take), so a copy of a message that must not run twice could run. directory and the module's endpoints and order keys only grew; the time between trials and the pause after failures counted endpoints long replaced (rules.go, gap and pause), so they grew with each. The pool was keyed by address: a new endpoint there got the old one's connections and CloseIdle. drain went on as long as anything came. A body claimed its whole length at once.

The module forgets an endpoint 30 s after it left the list, unless a call or a held message still refers to it.

--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -43,8 +43,8 @@
 	drainFor   = 3100 * time.Millisecond // clients are served so long after the signal
 	lastOrders = 600 * time.Millisecond  // within this, new clients still come
 	closeFor   = 150 * time.Millisecond  // for the last notices
-	slowClient = 5 * time.Second
-	idleClient = 2 * time.Minute
+	slowClient = 2 * time.Second         // for a request, the first from the connecting
+	idleClient = 20 * time.Second        // between two
 )
 
 // service is the sender as a whole.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -32,9 +32,12 @@
 	RetryAfter time.Duration
 }
 
+// Peer is an endpoint and where it is. A new endpoint may stand where another one was: it is another peer.
+type Peer struct{ Name, Dial string }
+
 // Call is one call to an endpoint. The endpoint side does it and hands its result to Exchange.Finish.
 type Call struct {
-	Dial    string
+	To      Peer
 	Items   []*message.Message
 	Waiting time.Duration // how long the sender will wait for it
 	flight  *flight
@@ -61,7 +64,7 @@
 // Caller is the endpoint side. None of its methods may wait.
 type Caller interface {
 	Start(*Call) Handle
-	CloseIdle(dial string)
+	CloseIdle(Peer)
 }
 
 // Platform is the side that lists the endpoints and takes notices. None of its methods may wait.
@@ -72,7 +75,7 @@
 
 // Host is one endpoint as the registry lists it.
 type Host struct {
-	Name, Dial       string
+	Peer
 	Dest, Kind, Zone int
 	Rate             float64
 	Draining, Gone   bool
@@ -113,6 +116,7 @@
 	held     map[string]*held
 	flights  []*flight // out, oldest first
 	dir      directory
+	past     past
 	events   []rules.Event
 	fresh    []*held // taken in since the last step, not answered yet
 	wakeAt   time.Duration
@@ -146,7 +150,7 @@
 // Recover tells the module of the known list, of any that has come since, and of what an earlier process left owed.
 // Call it once, before Run.
 func (x *Exchange) Recover() {
-	x.events = append(x.events, x.dir.update(x.cfg.Known))
+	x.listed(x.cfg.Known)
 	x.drain()
 	for _, n := range x.cfg.Ledger.Notices() {
 		x.cfg.Platform.Tell(n)
@@ -228,7 +232,16 @@
 func (x *Exchange) Finish(c *Call, r Result) { x.post(func() { x.finished(c.flight, r) }) }
 
 // List hands in what the registry told.
-func (x *Exchange) List(l Listing) { x.post(func() { x.events = append(x.events, x.dir.update(l)) }) }
+func (x *Exchange) List(l Listing) { x.post(func() { x.listed(l) }) }
+
+// listed takes in a list. Idle connections to endpoints that it has lost are closed.
+func (x *Exchange) listed(l Listing) {
+	e, left := x.dir.update(l)
+	x.events = append(x.events, e)
+	for _, p := range left {
+		x.cfg.Caller.CloseIdle(p)
+	}
+}
 
 // ListFailed tells that the registry could not be heard.
 func (x *Exchange) ListFailed() { x.post(func() { x.events = append(x.events, rules.ListFailed{}) }) }
@@ -273,15 +286,11 @@
 	<-x.done
 }
 
-// drain takes in all that has come by now.
+// drain takes in all that has come by now. What comes meanwhile waits for the next time, so that no flood keeps the
+// module from its step.
 func (x *Exchange) drain() {
-	for {
-		select {
-		case f := <-x.in:
-			f()
-		default:
-			return
-		}
+	for range len(x.in) {
+		(<-x.in)()
 	}
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -20,7 +20,7 @@
 type endpoints struct {
 	started   chan *Call
 	cancelled chan *Call
-	closed    chan string
+	closed    chan Peer
 	onStart   func(*Call)
 }
 
@@ -39,7 +39,7 @@
 	return handle{c, e}
 }
 
-func (e *endpoints) CloseIdle(dial string) { e.closed <- dial }
+func (e *endpoints) CloseIdle(to Peer) { e.closed <- to }
 
 // notices keeps what the platform is told.
 type notices struct{ told chan ledger.Notice }
@@ -73,8 +73,8 @@
 }
 
 var known = Listing{Whole: true, Hosts: []Host{
-	{Name: "s-1", Dial: "127.0.0.1:1001", Dest: 1},
-	{Name: "s-2", Dial: "127.0.0.1:1002", Dest: 2, Kind: 1},
+	{Peer: Peer{"s-1", "127.0.0.1:1001"}, Dest: 1},
+	{Peer: Peer{"s-2", "127.0.0.1:1002"}, Dest: 2, Kind: 1},
 }}
 
 // newWorld starts an exchange on a folder.
@@ -89,7 +89,7 @@
 		t.Fatal(err)
 	}
 	w := &world{t: t, dir: dir, led: led,
-		ends: &endpoints{started: make(chan *Call, 200), cancelled: make(chan *Call, 200), closed: make(chan string, 200)},
+		ends: &endpoints{started: make(chan *Call, 200), cancelled: make(chan *Call, 200), closed: make(chan Peer, 200)},
 		plat: &notices{make(chan ledger.Notice, 200)}}
 	w.Exchange = New(Config{Settings: set, Classes: []string{"stock", "payment"}, Known: known, Ledger: led,
 		Caller: w.ends, Platform: w.plat, Log: quiet})
@@ -182,7 +182,7 @@
 	w.start()
 	w.take(msg("a", "stock", 1))
 	c := testkit.Next(t, w.ends.started, "call")
-	if c.Dial != "127.0.0.1:1001" || len(c.Items) != 1 || c.Items[0].ID != "a" {
+	if c.To.Dial != "127.0.0.1:1001" || len(c.Items) != 1 || c.Items[0].ID != "a" {
 		t.Errorf("call: %+v", c)
 	}
 	if len(atStart) != 1 || !atStart[0].MayRun || atStart[0].Host != "s-1" || atStart[0].Attempts != 1 {
@@ -485,7 +485,7 @@
 // Whatever the list says later, a call never leaves for an endpoint of another destination.
 func TestMovedEndpointGetsNothing(t *testing.T) {
 	w := begin(t, nil)
-	w.List(Listing{Whole: true, Hosts: []Host{{Name: "s-1", Dial: "127.0.0.1:1001", Dest: 9}}})
+	w.List(Listing{Whole: true, Hosts: []Host{{Peer: Peer{"s-1", "127.0.0.1:1001"}, Dest: 9}}})
 	m := msg("a", "stock", 1)
 	m.Deadline = time.Now().Add(200 * time.Millisecond)
 	w.take(m)
@@ -521,3 +521,93 @@
 		}
 	}
 }
+
+// later moves the exchange's clock on. Call it only while the exchange does not run.
+func (w *world) later(d time.Duration) { w.started = w.started.Add(-d) }
+
+// Thousands of endpoints that replace one another, some at an address used before, and thousands of messages leave
+// nothing behind, and idle connections to those gone are closed.
+func TestChurn(t *testing.T) {
+	w := newWorld(t, t.TempDir(), nil)
+	w.Recover()
+	replies := make(chan Answer, 10)
+	for i := range 3000 {
+		peer := Peer{fmt.Sprint("new-", i), fmt.Sprint("127.0.0.1:", 2000+i%5)}
+		w.listed(Listing{Hosts: []Host{{Peer: peer, Dest: 1}}})
+		if i > 0 {
+			w.listed(Listing{Hosts: []Host{{Peer: Peer{Name: fmt.Sprint("new-", i-1)}, Gone: true}}})
+			if left := <-w.ends.closed; left.Name != fmt.Sprint("new-", i-1) || left.Dial == "" {
+				t.Fatalf("idle connections to %v are closed", left)
+			}
+		}
+		w.Exchange.take(msg(fmt.Sprint("m", i), "stock", 1), replies)
+		w.step()
+		if a := <-replies; a.Verdict != Taken {
+			t.Fatalf("message %d: %+v", i, a)
+		}
+		c := <-w.ends.started
+		w.finished(c.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.OK}}})
+		w.later(time.Second)
+	}
+	if n := len(w.Exchange.dir.ids) + len(w.Exchange.dir.hosts); n > 100 {
+		t.Errorf("%d numbers and hosts kept of 3000 endpoints", n)
+	}
+	if n := len(w.held) + len(w.flights) + len(w.fresh); n != 0 {
+		t.Errorf("%d messages and calls kept", n)
+	}
+	w.led.Close()
+}
+
+// The names of ended messages are kept for a while and bounded in number.
+func TestPast(t *testing.T) {
+	var p past
+	now := time.Now()
+	for i := range 3 * pastMost {
+		p.add(fmt.Sprint(i), now)
+	}
+	if len(p.ended) > pastMost || len(p.queue) > pastMost {
+		t.Errorf("%d names kept, %d in line; at most %d", len(p.ended), len(p.queue), pastMost)
+	}
+	if last := fmt.Sprint(3*pastMost - 1); !p.has(last, now) || p.has(last, now.Add(pastFor)) || p.has("0", now) {
+		t.Error("the names kept are not those of the last while")
+	}
+	p.add("x", now.Add(pastFor))
+	if len(p.ended) != 1 || len(p.queue) != 1 {
+		t.Errorf("%d names kept past their time", len(p.ended)-1)
+	}
+}
+
+// A name whose message has ended, in whatever way, is not taken on again: its message may have run.
+func TestEndedNameIsNotTakenAgain(t *testing.T) {
+	w := begin(t, func(s *rules.Settings) { s.MaxAttempts = 1 })
+	for id, o := range map[string]rules.Outcome{"delivered": rules.OK, "failed": rules.Errored} {
+		w.take(msg(id, "payment", 1))
+		w.finish(testkit.Next(t, w.ends.started, "call"), o)
+		w.settled("ended", func(c Counts) bool { return c.Held == 0 })
+		if a := w.Submit(msg(id, "payment", 1)); a.Verdict != Duplicate {
+			t.Errorf("a %s message handed in again: verdict %v", id, a.Verdict)
+		}
+	}
+	if n := len(w.ends.started); n != 0 {
+		t.Errorf("%d calls for messages that had ended", n)
+	}
+}
+
+// What keeps coming does not keep the module from its step.
+func TestFloodDoesNotStarveTheStep(t *testing.T) {
+	w := newWorld(t, t.TempDir(), nil)
+	w.Recover()
+	n := 0
+	var again func()
+	again = func() {
+		if n++; n < 10000 {
+			w.in <- again // each event brings the next
+		}
+	}
+	w.in <- again
+	w.drain()
+	if n != 1 {
+		t.Errorf("%d events taken in at once, want the one that was there", n)
+	}
+	w.led.Close()
+}
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -52,7 +52,7 @@
 		x.counts.Unknown++
 		reply <- Answer{Verdict: Unknown}
 		return
-	case x.held[m.ID] != nil:
+	case x.held[m.ID] != nil || x.past.has(m.ID, time.Now()):
 		x.counts.Duplicate++
 		reply <- Answer{Verdict: Duplicate}
 		return
@@ -99,7 +99,9 @@
 		case rules.Cancel:
 			x.cancel(string(a.ID), a.Attempt)
 		case rules.CloseIdle:
-			x.cfg.Caller.CloseIdle(x.dir.hosts[a.Endpoint].Dial)
+			x.cfg.Caller.CloseIdle(x.dir.hosts[a.Endpoint].Peer)
+		case rules.Forgot:
+			x.dir.forget(a.Endpoint)
 		case rules.WakeAfter:
 			x.wakeAt = now + a.After
 		case rules.Watch:
@@ -125,9 +127,15 @@
 	h.reply = nil
 }
 
+// drop lets go of a message whose end is known.
+func (x *Exchange) drop(h *held) {
+	delete(x.held, h.msg.ID)
+	x.past.add(h.msg.ID, time.Now())
+}
+
 // over drops a message of which nothing more is owed.
 func (x *Exchange) over(h *held) {
-	delete(x.held, h.msg.ID)
+	x.drop(h)
 	x.record(x.cfg.Ledger.End(h.msg.ID))
 }
 
@@ -160,7 +168,7 @@
 }
 
 func (x *Exchange) tell(h *held, n ledger.Notice) {
-	delete(x.held, h.msg.ID)
+	x.drop(h)
 	x.record(x.cfg.Ledger.Tell(n))
 	x.cfg.Platform.Tell(n)
 }
@@ -198,7 +206,7 @@
 		x.counts.Attempts++
 		f := open[s.Endpoint]
 		if f == nil || len(f.items) >= x.batch(host.Kind) {
-			f = &flight{ep: s.Endpoint, sent: now, call: &Call{Dial: host.Dial}}
+			f = &flight{ep: s.Endpoint, sent: now, call: &Call{To: host.Peer}}
 			f.call.flight = f
 			open[s.Endpoint] = f
 			order = append(order, f)
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -128,11 +128,22 @@
 	return r, nil
 }
 
-// ReadBody reads a body of a known length into a slice of its own.
+// ReadBody reads a body of a known length into a slice of its own. The slice grows with what comes, so that a length
+// alone claims no memory.
 func ReadBody(br *bufio.Reader, n int) ([]byte, error) {
-	body := make([]byte, n)
-	_, err := io.ReadFull(br, body)
-	return body, noEOF(err)
+	const first = 4 << 10
+	body := make([]byte, 0, min(n, first))
+	for len(body) < n {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, min(n-len(body), len(body)))
+		}
+		k, err := br.Read(body[len(body):min(n, cap(body))])
+		body = body[:len(body)+k]
+		if err != nil && len(body) < n {
+			return body, noEOF(err)
+		}
+	}
+	return body, nil
 }
 
 // ReadResponse reads an answer with a body of at most most bytes, past the interim ones ahead of it.
@@ -149,9 +160,9 @@
 // response is returned with the error, so that its status can be told.
 func ReadPart(br *bufio.Reader, most int) (*Response, error) {
 	room := MaxHead
-	line, err := readLine(br, &room)
-	if err != nil {
-		return nil, err
+	line, bad := readLine(br, &room)
+	if bad != nil && line == "" {
+		return nil, bad
 	}
 	version, rest, _ := strings.Cut(line, " ")
 	minor, err := minorVersion(version)
@@ -164,6 +175,9 @@
 		return nil, malformed("bad status line")
 	}
 	r := &Response{Status: status, Close: true}
+	if bad != nil { // in the reason, which means nothing
+		return r, bad
+	}
 	if r.Header, err = readHeader(br, &room); err != nil {
 		return r, noEOF(err)
 	}
@@ -199,7 +213,8 @@
 	return err
 }
 
-// readLine reads one line of a head without its end. An empty input is io.EOF, a cut one io.ErrUnexpectedEOF.
+// readLine reads one line of a head without its end. An empty input is io.EOF, a cut one io.ErrUnexpectedEOF. A line
+// with a control character is returned with the error.
 func readLine(br *bufio.Reader, room *int) (string, error) {
 	var line []byte
 	for {
@@ -212,7 +227,7 @@
 		case err == nil:
 			line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
 			if bytes.ContainsAny(line, "\r\x00") {
-				return "", malformed("stray control character")
+				return string(line), malformed("stray control character")
 			}
 			return string(line), nil
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,6 +1,7 @@
 // Package intake is the client side: it accepts connections, reads the messages handed in and writes the
 // exchange's answers. It owns those connections, one goroutine each, and the form of requests (request.go). It must
-// never judge a message by more than its form, nor leave a request that it has read without an answer.
+// never judge a message by more than its form, leave a request that it has read without an answer, or let clients that
+// send nothing of use keep out others.
 package intake
 
 import (
@@ -15,6 +16,7 @@
 
 	"eiderhaven/internal/exchange"
 	"eiderhaven/internal/http1"
+	"eiderhaven/internal/socket"
 )
 
 // Time limits towards clients.
@@ -29,7 +31,7 @@
 	Ready    func() bool
 	Classes  []string
 	MaxConns int
-	Slow     time.Duration // for a client to send one request
+	Slow     time.Duration // for a client to send one request; for the first, from its connecting
 	Idle     time.Duration // between two requests
 	Log      *slog.Logger
 }
@@ -68,21 +70,20 @@
 func (s *Server) Serve(ln net.Listener) {
 	pause := time.Millisecond
 	for {
-		s.makeRoom()
 		nc, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			<-s.room
 			return
 		}
 		if err != nil {
-			<-s.room
 			s.cfg.Log.Warn("a connection could not be accepted", "err", err)
 			time.Sleep(pause)
 			pause = min(2*pause, time.Second)
 			continue
 		}
 		pause = time.Millisecond
-		c := &client{nc: nc, br: bufio.NewReaderSize(nc, 4096)}
+		s.makeRoom()
+		now := time.Now()
+		c := &client{nc: nc, br: bufio.NewReaderSize(nc, 4096), opened: now, since: now}
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
@@ -90,7 +91,8 @@
 	}
 }
 
-// makeRoom waits until one more connection is allowed. The one idle longest goes for it: it is between requests.
+// makeRoom waits until one more connection is allowed, which is soon: one that is not being answered goes for it, and
+// answers do not take long.
 func (s *Server) makeRoom() {
 	select {
 	case s.room <- struct{}{}:
@@ -98,19 +100,34 @@
 	default:
 	}
 	s.mu.Lock()
-	var oldest *client
+	var worst *client
 	for c := range s.conns {
-		if c.idle && (oldest == nil || c.since.Before(oldest.since)) {
-			oldest = c
+		if c.state != busy && (worst == nil || c.before(worst)) {
+			worst = c
 		}
 	}
-	if oldest != nil {
-		oldest.nc.SetReadDeadline(longAgo)
+	if worst != nil {
+		worst.state = evicted
+		worst.nc.Close()
 	}
 	s.mu.Unlock()
 	s.room <- struct{}{}
 }
 
+// before tells whether c makes room rather than d: first those that have not sent a request worth an answer yet, the
+// oldest of them; then those between two requests, the one idle longest; last those within one. Guards against crowds
+// that connect and say nothing, or nothing that can be read, whoever they are. It hurts a client that is slow with its
+// first request while a crowd pushes.
+func (c *client) before(d *client) bool {
+	if c.proven != d.proven {
+		return d.proven
+	}
+	if c.proven && c.state != d.state {
+		return c.state == idle
+	}
+	return c.since.Before(d.since)
+}
+
 // Open is the number of connections.
 func (s *Server) Open() int {
 	s.mu.Lock()
@@ -124,7 +141,7 @@
 	s.mu.Lock()
 	s.closing = true
 	for c := range s.conns {
-		if c.idle {
+		if c.state == idle {
 			c.nc.SetReadDeadline(longAgo)
 		} else {
 			c.nc.SetReadDeadline(time.Now().Add(lingering))
@@ -134,24 +151,37 @@
 	s.wg.Wait()
 }
 
-// begin limits the time for a request whose first byte has come.
-func (s *Server) begin(c *client, now time.Time) {
+// state is what a connection is at.
+type state int
+
+const (
+	idle    state = iota // between two requests
+	reading              // within a request
+	busy                 // a request is whole and owed its answer
+	evicted              // closed, to make room
+)
+
+// client is one connection. What the server's lock guards is read by others than its own goroutine.
+type client struct {
+	nc     net.Conn
+	br     *bufio.Reader
+	buf    []byte
+	opened time.Time
+
+	state  state     // guarded by the server's lock, as are the two below
+	since  time.Time // when it connected or last fell idle
+	proven bool      // it has sent a request that the exchange or a health check answered
+}
+
+// enter changes a connection's state; it is false if the connection was evicted meanwhile.
+func (s *Server) enter(c *client, to state) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	limit := s.cfg.Slow
-	if s.closing {
-		limit = min(limit, lingering)
+	if c.state == evicted {
+		return false
 	}
-	c.nc.SetDeadline(now.Add(limit))
-}
-
-// client is one connection.
-type client struct {
-	nc    net.Conn
-	br    *bufio.Reader
-	buf   []byte
-	idle  bool // between two requests; guarded by the server's lock, like since
-	since time.Time
+	c.state = to
+	return true
 }
 
 // longAgo as a deadline ends a blocked read at once.
@@ -170,21 +200,44 @@
 	}
 }
 
-// await waits for the first byte of a request. It is false when the connection is to be closed.
+// await waits for the first byte of a request. It is false when the connection is to be closed. What has come as the
+// time ends is still read, so that closing crosses few requests.
 func (s *Server) await(c *client) bool {
 	s.mu.Lock()
-	c.idle, c.since = true, time.Now()
-	limit := c.since.Add(s.cfg.Idle)
+	if c.state == evicted {
+		s.mu.Unlock()
+		return false
+	}
+	c.state = idle
+	limit := c.opened.Add(s.cfg.Slow)
+	if c.proven {
+		c.since = time.Now()
+		limit = c.since.Add(s.cfg.Idle)
+	}
 	if s.closing {
 		limit = longAgo
 	}
 	c.nc.SetReadDeadline(limit)
 	s.mu.Unlock()
 	_, err := c.br.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !socket.Silent(c.nc) {
+		err = nil
+	}
+	return err == nil && s.enter(c, reading)
+}
+
+// begin limits the time for a request whose first byte has come.
+func (s *Server) begin(c *client, now time.Time) {
 	s.mu.Lock()
-	c.idle = false
-	s.mu.Unlock()
-	return err == nil
+	defer s.mu.Unlock()
+	end := now.Add(s.cfg.Slow)
+	if first := c.opened.Add(s.cfg.Slow); !c.proven && first.Before(end) {
+		end = first
+	}
+	if soon := now.Add(lingering); s.closing && soon.Before(end) {
+		end = soon
+	}
+	c.nc.SetDeadline(end)
 }
 
 // request reads one request and answers it. It tells whether another may follow.
@@ -202,13 +255,16 @@
 	if err != nil {
 		return s.reject(c, err)
 	}
+	if !s.enter(c, busy) {
+		return false
+	}
 	s.Counts.Requests.Add(1)
 	a, taken := s.handle(c, req, body, arrived)
 	if a.status == 0 {
 		s.Counts.Gone.Add(1)
 		return false
 	}
-	ends := req.Close || s.ending()
+	ends := req.Close || s.prove(c, a.proves)
 	if ends {
 		a.fields = append(a.fields, http1.Field{Name: "Connection", Value: "close"})
 	}
@@ -224,9 +280,11 @@
 	return !ends
 }
 
-func (s *Server) ending() bool {
+// prove notes that a client has sent something of use, and tells whether the server is closing.
+func (s *Server) prove(c *client, proves bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.proven = c.proven || proves
 	return s.closing
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -26,7 +26,7 @@
 type void struct{}
 
 func (void) Start(*exchange.Call) exchange.Handle { return void{} }
-func (void) CloseIdle(string)                     {}
+func (void) CloseIdle(exchange.Peer)              {}
 func (void) Cancel()                              {}
 func (void) Tell(ledger.Notice)                   {}
 func (void) Watch()                               {}
@@ -54,7 +54,7 @@
 	}
 	x := exchange.New(exchange.Config{Settings: settings, Classes: []string{"stock"}, Ledger: led, Caller: void{},
 		Platform: void{}, Log: quiet, Known: exchange.Listing{Whole: true,
-			Hosts: []exchange.Host{{Name: "s", Dial: "127.0.0.1:1", Dest: 7}}}})
+			Hosts: []exchange.Host{{Peer: exchange.Peer{Name: "s", Dial: "127.0.0.1:1"}, Dest: 7}}}})
 	x.Recover()
 	go x.Run()
 	s := &site{t: t, x: x}
@@ -266,8 +266,30 @@
 			t.Errorf("after %d bytes: %+v", len(part), r)
 		}
 	}
+	p := s.dial()
+	p.send(request("x"))
+	if r := p.answer(); r.Status != 202 || !p.closed() {
+		t.Errorf("a client that falls idle: %+v", r)
+	}
+}
+
+// The time for a first request runs from the connecting, whatever comes meanwhile: a client that says nothing is cut
+// off by it, and so is one that keeps sending a byte at a time or requests of no use.
+func TestFirstRequestHasItsTime(t *testing.T) {
+	s := newSite(t, nil, func(c *Config) { c.Slow = 100 * time.Millisecond })
 	if p := s.dial(); !p.closed() {
-		t.Error("an idle client stays")
+		t.Error("a silent client stays")
+	}
+	for name, text := range map[string]string{"drip": "X", "of no use": strings.Replace(good, "dest=7", "dest=x", 1)} {
+		p := s.dial()
+		for begun := time.Now(); ; {
+			if _, err := io.WriteString(p, text); err != nil {
+				break // closed
+			}
+			if time.Since(begun) > 10*time.Second {
+				t.Fatalf("%s: still open", name)
+			}
+		}
 	}
 }
 
@@ -331,7 +353,7 @@
 	defer s.mu.Unlock()
 	n := 0
 	for c := range s.conns {
-		if c.idle {
+		if c.state == idle {
 			n++
 		}
 	}
@@ -371,6 +393,40 @@
 	if !peers[0].closed() || !peers[1].closed() {
 		t.Error("the oldest connections stay open")
 	}
+	peers[2].send(request("again"))
+	if r := peers[2].answer(); r.Status != 202 {
+		t.Errorf("a connection within the cap: status %d", r.Status)
+	}
+}
+
+// A crowd that connects and says nothing, or stops within a head, or sends what is no use, closes nobody who has sent
+// a message, and whoever comes is still served.
+func TestCrowdKeepsNobodyOut(t *testing.T) {
+	for name, text := range map[string]string{
+		"silent": "", "half a head": "POST /st", "half a body": good[:len(good)-1], "no use": strings.Replace(good, "dest=7", "dest=x", 1),
+	} {
+		s := newSite(t, nil, func(c *Config) { c.MaxConns = 8 })
+		old := s.dial()
+		old.send(request("first"))
+		if r := old.answer(); r.Status != 202 {
+			t.Fatalf("%s: status %d", name, r.Status)
+		}
+		for range 30 {
+			io.WriteString(s.dial(), text) // it may have been closed by now
+		}
+		fresh := s.dial()
+		fresh.send(request("fresh"))
+		if r := fresh.answer(); r.Status != 202 {
+			t.Errorf("%s: a client that came among the crowd: status %d", name, r.Status)
+		}
+		old.send(request("second"))
+		if r := old.answer(); r.Status != 202 {
+			t.Errorf("%s: a client from before the crowd: status %d", name, r.Status)
+		}
+		if n := s.Open(); n > 8 {
+			t.Errorf("%s: %d connections open, cap 8", name, n)
+		}
+	}
 }
 
 // short is a listener that runs out of descriptors a few times.
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -19,6 +19,7 @@
 	status int
 	fields http1.Header
 	text   string
+	proves bool // the client has asked for something of use
 }
 
 const (
@@ -50,7 +51,7 @@
 		return answer{}, ""
 	}
 	if got.Verdict == exchange.Taken {
-		return answer{status: 202}, m.ID
+		return answer{status: 202, proves: true}, m.ID
 	}
 	return verdict(got), ""
 }
@@ -73,7 +74,7 @@
 	case path == "/health/ready" && !s.cfg.Ready():
 		return answer{status: 503, text: "not ready\n"}
 	}
-	return answer{status: 200, text: "ok\n"}
+	return answer{status: 200, text: "ok\n", proves: true}
 }
 
 // verdict is the exchange's answer, if it did not take the message on.
@@ -81,15 +82,15 @@
 	a := answer{}
 	switch got.Verdict {
 	case exchange.Refused:
-		a.status = 429
+		a.status, a.proves = 429, true
 	case exchange.Stopped:
-		a.status = 503
+		a.status, a.proves = 503, true
 	case exchange.Unknown:
 		a.status, a.text = 400, "no such destination\n"
 	case exchange.Duplicate:
 		a.status, a.text = 409, "a message of that name is held\n"
 	default:
-		a.status = 500
+		a.status, a.proves = 500, true
 	}
 	if got.RetryAfter > 0 {
 		value := strconv.FormatFloat(got.RetryAfter.Seconds(), 'f', 3, 64)
--- a/internal/outbound/call.go
+++ b/internal/outbound/call.go
@@ -23,7 +23,7 @@
 
 // appendCall encodes a call.
 func appendCall(buf []byte, call *exchange.Call) []byte {
-	fields := http1.Header{{Name: "Host", Value: call.Dial},
+	fields := http1.Header{{Name: "Host", Value: call.To.Dial},
 		{Name: "Req-Deadline-Ms", Value: strconv.FormatInt(max(1, call.Waiting.Milliseconds()), 10)}}
 	if len(call.Items) == 1 {
 		m := call.Items[0]
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -11,11 +11,11 @@
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"eiderhaven/internal/exchange"
 	"eiderhaven/internal/http1"
+	"eiderhaven/internal/socket"
 	"eiderhaven/rules"
 )
 
@@ -31,14 +31,14 @@
 type Pool struct {
 	cfg  Config
 	mu   sync.Mutex
-	idle map[string][]*conn // by address, the last used last
-	open int                // connections and attempts at one
+	idle map[exchange.Peer][]*conn // the last used last
+	open int                       // connections and attempts at one
 	shut bool
 	wg   sync.WaitGroup
 }
 
 // New returns a pool without connections.
-func New(cfg Config) *Pool { return &Pool{cfg: cfg, idle: map[string][]*conn{}} }
+func New(cfg Config) *Pool { return &Pool{cfg: cfg, idle: map[exchange.Peer][]*conn{}} }
 
 // conn is one connection. Its goroutine reads while it is idle, so that it sees the other side close it; a call is
 // handed to it through next, by making that read time out.
@@ -113,7 +113,7 @@
 	j := &job{call: call}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c := p.pop(call.Dial); c != nil {
+	if c := p.pop(call.To); c != nil {
 		c.next = j
 		c.nc.SetReadDeadline(longAgo)
 		return j
@@ -126,47 +126,47 @@
 	return j
 }
 
-// pop takes the idle connection to an address that was used last. Call it with the lock held.
-func (p *Pool) pop(dial string) *conn {
-	list := p.idle[dial]
+// pop takes the idle connection to a peer that was used last. Call it with the lock held.
+func (p *Pool) pop(to exchange.Peer) *conn {
+	list := p.idle[to]
 	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
-	p.drop(dial, c)
+	p.drop(to, c)
 	return c
 }
 
-func (p *Pool) drop(dial string, c *conn) {
-	list := p.idle[dial]
+func (p *Pool) drop(to exchange.Peer, c *conn) {
+	list := p.idle[to]
 	if i := slices.Index(list, c); i >= 0 {
 		list = slices.Delete(list, i, i+1)
 	}
-	if p.idle[dial] = list; len(list) == 0 {
-		delete(p.idle, dial)
+	if p.idle[to] = list; len(list) == 0 {
+		delete(p.idle, to)
 	}
 }
 
 // closeOldest makes room by the connection that has been idle longest. Call it with the lock held.
 func (p *Pool) closeOldest() {
-	var dial string
+	var to exchange.Peer
 	var oldest *conn
-	for d, list := range p.idle {
+	for peer, list := range p.idle {
 		if oldest == nil || list[0].since.Before(oldest.since) {
-			dial, oldest = d, list[0]
+			to, oldest = peer, list[0]
 		}
 	}
 	if oldest != nil {
-		p.drop(dial, oldest)
+		p.drop(to, oldest)
 		oldest.nc.SetReadDeadline(longAgo)
 	}
 }
 
-// CloseIdle closes the idle connections to an address.
-func (p *Pool) CloseIdle(dial string) {
+// CloseIdle closes the idle connections to a peer.
+func (p *Pool) CloseIdle(to exchange.Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := p.pop(dial); c != nil; c = p.pop(dial) {
+	for c := p.pop(to); c != nil; c = p.pop(to) {
 		c.nc.SetReadDeadline(longAgo)
 	}
 }
@@ -199,13 +199,13 @@
 				return
 			}
 		}
-		dial := j.call.Dial
+		to := j.call.To
 		if !p.do(c, j) {
 			c.nc.Close()
 			return
 		}
 		var sound bool
-		if j, sound = p.park(c, dial); !sound {
+		if j, sound = p.park(c, to); !sound {
 			c.nc.Close()
 			c = nil // nothing of the next call was written yet: it gets a fresh one
 		}
@@ -221,7 +221,7 @@
 		cancel()
 	}
 	d := net.Dialer{KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", j.call.Dial)
+	nc, err := d.DialContext(ctx, "tcp", j.call.To.Dial)
 	if err != nil {
 		p.finish(j, rules.ConnectError)
 		return nil
@@ -239,7 +239,7 @@
 
 // park keeps a connection while it is idle. It returns the next call, nil if the connection is to be closed, and
 // whether the connection can still be used for it.
-func (p *Pool) park(c *conn, dial string) (next *job, sound bool) {
+func (p *Pool) park(c *conn, to exchange.Peer) (next *job, sound bool) {
 	c.since = time.Now()
 	c.nc.SetReadDeadline(c.since.Add(p.cfg.KeepAlive - p.cfg.KeepAlive/10)) // before the other side does
 	p.mu.Lock()
@@ -247,36 +247,19 @@
 		p.mu.Unlock()
 		return nil, false
 	}
-	p.idle[dial] = append(p.idle[dial], c)
+	p.idle[to] = append(p.idle[to], c)
 	p.mu.Unlock()
 	_, err := c.br.Peek(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if next, c.next = c.next, nil; next == nil {
-		p.drop(dial, c)
+		p.drop(to, c)
 		return nil, false
 	}
-	return next, errors.Is(err, os.ErrDeadlineExceeded) && time.Since(c.since) < p.cfg.KeepAlive && c.silent()
-}
-
-// silent tells whether nothing has come on an idle connection. The read that was made to time out may have left bytes
-// or an end in the kernel: what lies there when a call is written would be taken for its answer. Guards against a
-// second copy of an answer and noise behind one; what arrives later still cannot be told from an answer.
-func (c *conn) silent() bool {
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
+	// The read that was made to time out may have left bytes or an end in the kernel: what lies there when a call is
+	// written would be taken for its answer. Guards against a second copy of an answer and noise behind one; what
+	// arrives later still cannot be told from an answer.
+	return next, errors.Is(err, os.ErrDeadlineExceeded) && time.Since(c.since) < p.cfg.KeepAlive && socket.Silent(c.nc)
 }
 
 // answer waits for the answer to a call. Once one has begun, the rest must follow soon: a peer that stops halfway, or
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 	"eiderhaven/internal/exchange"
 	"eiderhaven/internal/http1"
 	"eiderhaven/internal/message"
+	"eiderhaven/internal/socket"
 	"eiderhaven/internal/testkit"
 	"eiderhaven/rules"
 )
@@ -42,8 +44,11 @@
 	return s
 }
 
+// peer is the endpoint that stands at an address.
+func peer(addr string) exchange.Peer { return exchange.Peer{Name: "s", Dial: addr} }
+
 func callTo(addr string, ids ...string) *exchange.Call {
-	c := &exchange.Call{Dial: addr, Waiting: 1500 * time.Millisecond}
+	c := &exchange.Call{To: peer(addr), Waiting: 1500 * time.Millisecond}
 	for _, id := range ids {
 		c.Items = append(c.Items, &message.Message{ID: id, Body: []byte("body of " + id + "\r\n\x00")})
 	}
@@ -256,6 +261,7 @@
 		"noise without a line": {"\x00\xff\x16", rules.Reset},
 		"no status":            {"HTTP/1.1 abc\r\n\r\n", rules.Reset},
 		"unreadable head":      {"HTTP/1.1 200 OK\r\nno colon here\r\n\r\n", rules.OK},
+		"noise in the reason":  {"HTTP/1.1 200 \x00\r\x01\r\n\r\n", rules.OK},
 		"head that stops":      {"HTTP/1.1 200 OK\r\nContent-Le", rules.OK},
 		"head without end":     {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", 10000), rules.OK},
 		"line without end":     {"HTTP/1.1 200 " + strings.Repeat("O", 20<<10), rules.Reset},
@@ -328,37 +334,45 @@
 	if got, _ := s.outcome(srv.Addr()); got.Outcome != rules.Full {
 		t.Errorf("second call: %+v, want its own answer", got)
 	}
-
-	client, server := tcpPair(t)
-	c := &conn{nc: client, br: bufio.NewReader(client)}
-	if !c.silent() {
-		t.Error("a connection on which nothing came is not silent")
-	}
-	if _, err := io.WriteString(server, good); err != nil {
-		t.Fatal(err)
-	}
-	testkit.Eventually(t, "bytes seen", func() bool { return !c.silent() })
-	client, server = tcpPair(t)
-	server.Close()
-	c = &conn{nc: client, br: bufio.NewReader(client)}
-	testkit.Eventually(t, "end seen", func() bool { return !c.silent() })
 }
 
-func tcpPair(t *testing.T) (client, server net.Conn) {
-	t.Helper()
+// deaf is a connection whose reads time out without looking, as the runtime's do past their deadline.
+type deaf struct{ *net.TCPConn }
+
+func (deaf) Read([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+func TestUnreadBytesSpoilAnIdleConnection(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	if client, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
 		t.Fatal(err)
 	}
-	if server, err = ln.Accept(); err != nil {
+	defer client.Close()
+	server, err := ln.Accept()
+	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { client.Close(); server.Close() })
-	return client, server
+	defer server.Close()
+	s := newSide(t, nil)
+	nc := deaf{client.(*net.TCPConn)}
+	c := &conn{nc: nc, br: bufio.NewReader(nc)}
+	for _, sound := range []bool{true, false} {
+		c.next = &job{call: callTo("x", "a")}
+		if next, got := s.park(c, peer("x")); next == nil || got != sound {
+			t.Errorf("got call %v, sound %v, want %v", next, got, sound)
+		}
+		s.mu.Lock()
+		clear(s.idle)
+		s.mu.Unlock()
+		if _, err := io.WriteString(server, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		testkit.Eventually(t, "bytes there", func() bool { return !socket.Silent(client) })
+	}
 }
 
 func TestNoConnection(t *testing.T) {
@@ -403,7 +417,7 @@
 func (s *side) idleAt(addr string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.idle[addr])
+	return len(s.idle[peer(addr)])
 }
 
 func TestConnectionsAreKept(t *testing.T) {
@@ -487,14 +501,44 @@
 	s := newSide(t, nil)
 	s.outcome(srv.Addr())
 	testkit.Eventually(t, "idle", func() bool { return s.idleAt(srv.Addr()) == 1 })
-	s.CloseIdle("127.0.0.1:1")
+	s.CloseIdle(peer("127.0.0.1:1"))
 	if n := s.idleAt(srv.Addr()); n != 1 {
 		t.Errorf("closing another address left %d idle", n)
 	}
-	s.CloseIdle(srv.Addr())
+	s.CloseIdle(peer(srv.Addr()))
 	testkit.Eventually(t, "closed", func() bool { return srv.Open() == 0 })
 }
 
+// A new endpoint at the address of one that has gone is another peer: it gets no connection that was opened to the old
+// one, and closing the old one's leaves its own alone.
+func TestNewEndpointAtAnOldAddress(t *testing.T) {
+	srv := listen(t, ok)
+	s := newSide(t, nil)
+	old, fresh := exchange.Peer{Name: "old", Dial: srv.Addr()}, exchange.Peer{Name: "new", Dial: srv.Addr()}
+	idle := func(to exchange.Peer) int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.idle[to])
+	}
+	for _, to := range []exchange.Peer{old, fresh} {
+		c := callTo(srv.Addr(), "a")
+		c.To = to
+		s.Start(c)
+		if d := testkit.Next(t, s.done, "result"); d.Items[0].Outcome != rules.OK {
+			t.Errorf("%s: %+v", to.Name, d.Result)
+		}
+		testkit.Eventually(t, "idle", func() bool { return idle(to) == 1 })
+	}
+	if n := srv.Opened(); n != 2 {
+		t.Errorf("%d connections, want one for each endpoint", n)
+	}
+	s.CloseIdle(old)
+	testkit.Eventually(t, "one closed", func() bool { return srv.Open() == 1 })
+	if idle(fresh) != 1 || idle(old) != 0 {
+		t.Errorf("%d idle at the new endpoint, %d at the old one", idle(fresh), idle(old))
+	}
+}
+
 // At the cap the connection idle longest makes room, and the cap holds again once calls are over.
 func TestConnectionCap(t *testing.T) {
 	s := newSide(t, func(c *Config) { c.MaxConns = 2 })
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -145,7 +145,7 @@
 	}
 	l.Whole = f.Whole
 	for i, e := range *f.Hosts {
-		h := exchange.Host{Name: e.Host, Dial: e.Dial, Kind: position(names.Kinds, e.Class),
+		h := exchange.Host{Peer: exchange.Peer{Name: e.Host, Dial: e.Dial}, Kind: position(names.Kinds, e.Class),
 			Zone: position(names.Zones, e.Site), Rate: e.Share}
 		switch e.Health {
 		case "Ready":
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -57,10 +57,10 @@
 		t.Fatal(err)
 	}
 	want := []exchange.Host{
-		{Name: "a", Dial: "127.0.0.1:9000", Dest: 3, Kind: 1, Zone: 1, Rate: 2.5},
-		{Name: "b", Dial: "127.0.0.1:9000", Dest: 3, Kind: 1, Zone: 1, Rate: 2.5, Draining: true},
-		{Name: "c", Kind: 2, Zone: 2, Gone: true},
-		{Name: "d", Dial: "127.0.0.1:1", Kind: 2, Zone: 2},
+		{Peer: exchange.Peer{Name: "a", Dial: "127.0.0.1:9000"}, Dest: 3, Kind: 1, Zone: 1, Rate: 2.5},
+		{Peer: exchange.Peer{Name: "b", Dial: "127.0.0.1:9000"}, Dest: 3, Kind: 1, Zone: 1, Rate: 2.5, Draining: true},
+		{Peer: exchange.Peer{Name: "c"}, Kind: 2, Zone: 2, Gone: true},
+		{Peer: exchange.Peer{Name: "d", Dial: "127.0.0.1:1"}, Kind: 2, Zone: 2},
 	}
 	if seq != 41 || !l.Whole || len(l.Hosts) != len(want) {
 		t.Fatalf("got seq %d, %+v", seq, l)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -265,9 +265,12 @@
 	return &Encoder{w: bw, enc: enc}
 }
 
-// Write adds the actions of one instance to the reply.
+// Write adds the actions of one instance to the reply. That an endpoint is forgotten concerns nobody on the wire.
 func (e *Encoder) Write(instance int, actions []rules.Action) error {
 	for _, a := range actions {
+		if _, none := a.(rules.Forgot); none {
+			continue
+		}
 		out, err := encode(instance, a)
 		if err != nil {
 			return err
--- a/rules/api.go
+++ b/rules/api.go
@@ -224,6 +224,10 @@
 // CloseIdle closes this sender's idle connections to an endpoint.
 type CloseIdle struct{ Endpoint EndpointID }
 
+// Forgot tells that an endpoint which the list no longer names is of no more concern: nothing refers to it, and should
+// the list name it again, it is a new one.
+type Forgot struct{ Endpoint EndpointID }
+
 // WakeAfter asks for a Woke event.
 type WakeAfter struct{ After time.Duration }
 
@@ -235,5 +239,6 @@
 func (Fail) action()      {}
 func (Cancel) action()    {}
 func (CloseIdle) action() {}
+func (Forgot) action()    {}
 func (WakeAfter) action() {}
 func (Watch) action()     {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -45,6 +45,7 @@
 	haste       = 2                       // the same in a crowd short of slots; 5 lets lost answers fill them
 	minPatience = 1500 * time.Millisecond // least such time-out: a connect and a service time
 	laneShare   = 0.4                     // of the slots that one lane may fill; 0.6 is even, all of them worse
+	goneMemory  = 30 * time.Second        // an endpoint gone this long: nothing known of it counts any more
 	roomMargin  = 16                      // part of the holding room kept free for newcomers: 1/16
 	minHorizon  = 250 * time.Millisecond  // look-ahead for worth lost by waiting
 	maxHorizon  = 3 * time.Second         // and at most: later losses count little; 10 s is worse in backlogs
@@ -424,7 +425,7 @@
 func (s *Sender) pause(ep *endpoint) time.Duration {
 	routes := 1
 	if s.kind(ep).RoutesApart {
-		routes = len(ep.dest.endpoints)
+		routes = ep.dest.width()
 	}
 	own := ep.dest.wanted.perSecond(s.now, deliveredMemory) / float64(routes)
 	share := 1 / max(s.set.OverloadFactor*s.set.ColdShare*own, 1e-3)
@@ -555,8 +556,8 @@
 	peers, warm := float64(max(s.set.Senders, 1)), 0.0
 	longest := s.set.FallWindow.Seconds() * peers / 2
 	if !s.kind(ep).RoutesApart {
-		peers *= float64(max(len(ep.dest.endpoints), 1))
-		longest *= float64(max(len(ep.dest.endpoints), 1))
+		peers *= float64(ep.dest.width())
+		longest *= float64(ep.dest.width())
 	}
 	if ep.health == ramping {
 		warm = min(1, (s.now-ep.since).Seconds()/max(s.set.WarmUp.Seconds(), 1e-3))
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1086,3 +1086,94 @@
 		t.Errorf("just before the end, repeatable: %v, want it sent", out)
 	}
 }
+
+// Endpoints that are replaced and keys that are new all day long leave nothing behind.
+func TestChurnLeavesNothingBehind(t *testing.T) {
+	b := newBench(t, nil)
+	forgotten := 0
+	for i := range 3000 {
+		old, fresh := EndpointID(11+i), EndpointID(12+i)
+		id := b.arrive(ordered)
+		for _, a := range b.step(Arrived{ID: id, Destination: 1, Class: ordered, OrderKey: string(id), TimeLeft: 16 * sec},
+			Listed{Entries: []Entry{{Endpoint: fresh, Destination: 1}, {Endpoint: old, Destination: 1, Gone: true}}}) {
+			switch a := a.(type) {
+			case Send:
+				if a.Endpoint != fresh {
+					t.Fatalf("sent to %d, which is gone", a.Endpoint)
+				}
+				b.step(Ended{ID: id, Endpoint: fresh, Outcome: OK, Over: true})
+			case Forgot:
+				forgotten++
+			}
+		}
+		b.now += sec
+	}
+	if n := len(b.s.endpoints); n > 40 || forgotten != 3001-n {
+		t.Errorf("%d endpoints kept of 3001, %d forgotten", n, forgotten)
+	}
+	if n := len(b.s.dests[1].endpoints) + len(b.s.gone); n > 80 {
+		t.Errorf("%d endpoints kept in lists", n)
+	}
+	if n := len(b.s.turns); n > 200 {
+		t.Errorf("%d keys kept of 3000", n)
+	}
+	if n := len(b.s.held) + len(b.s.attempts) + len(b.s.calls); n != 0 {
+		t.Errorf("%d messages, attempts and calls kept", n)
+	}
+}
+
+// A gone endpoint is remembered as long as a call is out to it, a held message may have run there, or it is the last
+// of its destination, whose lane a new one takes over.
+func TestGoneEndpointsInUseAreRemembered(t *testing.T) {
+	other := Entry{Endpoint: 12, Destination: 1, Zone: 1}
+	gone := Listed{Entries: []Entry{{Endpoint: 11, Destination: 1, Gone: true}}}
+	forgets := func(actions []Action) bool { return slices.Contains(actions, Action(Forgot{Endpoint: 11})) }
+
+	b := newBench(t, nil)
+	id, _ := b.take(once)
+	b.step(gone)
+	b.wait(goneMemory)
+	if forgets(b.step(Listed{Entries: []Entry{other}})) {
+		t.Error("forgotten with a call out")
+	}
+	b.step(Ended{ID: id, Endpoint: 11, Outcome: OK, Over: true})
+	if !forgets(b.step(Listed{})) {
+		t.Error("not forgotten after its call ended")
+	}
+
+	b = newBench(t, nil, Entry{Endpoint: 11, Destination: 1}, other)
+	b.s.set.Classes[keyedZone].Deadline = 100 * sec
+	b.step(Arrived{ID: "k", Destination: 1, Class: keyedZone, TimeLeft: 100 * sec,
+		Before: Before{Attempts: 1, MayRun: true, At: 11}})
+	b.step(gone)
+	b.s.held["k"].mayRun = never - sec // so that its window does not end it
+	b.now += goneMemory
+	if forgets(b.step(Listed{})) {
+		t.Error("forgotten with a message that may have run there")
+	}
+
+	b = newBench(t, nil)
+	lane := b.s.endpoints[11].lane
+	b.step(gone)
+	b.now += 2 * goneMemory
+	if forgets(b.step(Listed{})) {
+		t.Error("the last endpoint of a destination is forgotten")
+	}
+	if !forgets(b.step(Listed{Entries: []Entry{other}})) || b.s.endpoints[12].lane != lane {
+		t.Error("a new endpoint does not take over from the last one")
+	}
+	if b.step(Listed{Entries: []Entry{{Endpoint: 11, Destination: 1}}}); !b.s.endpoints[11].listed {
+		t.Error("an endpoint that comes back is not taken up")
+	}
+}
+
+// Replaced endpoints do not widen a destination: the time between trials goes by those that are there.
+func TestGoneEndpointsAreNotCounted(t *testing.T) {
+	b := newBench(t, nil)
+	for i := range 5 {
+		b.step(Listed{Entries: []Entry{{Endpoint: EndpointID(12 + i), Destination: 1}, {Endpoint: EndpointID(11 + i), Gone: true}}})
+	}
+	if n := b.s.dests[1].width(); n != 1 {
+		t.Errorf("a destination with one endpoint left counts %d", n)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -55,6 +56,8 @@
 	dest   *destination
 	lane   *lane
 	listed bool
+	gone   bool // from the list, not just draining
+	goneAt time.Duration
 	rate   float64 // listed rate
 	calls  []*call // out, oldest first
 	timing
@@ -139,7 +142,9 @@
 	order     []*destination // in the order first heard of
 	held      map[MessageID]*message
 	attempts  map[attemptKey]*attempt
+	gone      []*endpoint // oldest first
 	turns     map[string]*turn
+	turnsLeft int     // when they were last looked through
 	calls     []*call // out, oldest first; each holds a slot
 	usual     timing  // of all endpoints
 	arrivals  []meter
@@ -195,6 +200,7 @@
 		m.mayRun, m.mayRunAt = s.now-e.Before.Ago, s.endpoints[e.Before.At]
 	}
 	if m.class.KeepOrder && e.OrderKey != "" {
+		s.dropTurns()
 		if m.order = s.turns[e.OrderKey]; m.order == nil {
 			m.order = &turn{}
 			s.turns[e.OrderKey] = m.order
@@ -229,6 +235,7 @@
 		for _, d := range s.order {
 			for _, ep := range d.endpoints {
 				ep.listed = false
+				s.setGone(ep, true)
 			}
 		}
 	}
@@ -245,10 +252,60 @@
 			d.endpoints = append(d.endpoints, ep)
 		}
 		ep.zone, ep.rate, ep.listed = entry.Zone, 0, !entry.Draining && !entry.Gone
+		s.setGone(ep, entry.Gone)
 		if s.set.RatesListed {
 			ep.rate = entry.ListedRate
 		}
 	}
+	s.forgetGone()
+}
+
+// setGone notes whether the list has lost an endpoint.
+func (s *Sender) setGone(ep *endpoint, gone bool) {
+	if gone && !ep.gone {
+		ep.goneAt = s.now
+		s.gone = append(s.gone, ep)
+	} else if !gone {
+		s.gone = without(s.gone, ep)
+	}
+	ep.gone = gone
+}
+
+// forgetGone drops endpoints that have long been gone, once nothing of them is out and no message may have run there,
+// so that endpoints that are replaced all day long leave nothing behind. The last of a destination stays until another
+// comes, as a new one takes its lane and its failures from those there.
+func (s *Sender) forgetGone() {
+	for _, ep := range slices.Clone(s.gone) {
+		d := ep.dest
+		if s.now-ep.goneAt < goneMemory || len(ep.calls) > 0 || len(d.endpoints) == 1 ||
+			slices.ContainsFunc(d.msgs, func(m *message) bool { return m.mayRunAt == ep }) {
+			continue
+		}
+		s.gone = without(s.gone, ep)
+		d.endpoints = without(d.endpoints, ep)
+		delete(s.endpoints, ep.id)
+		s.act(Forgot{Endpoint: ep.id})
+	}
+}
+
+// width is how many endpoints a destination has, one at least.
+func (d *destination) width() int {
+	n := 0
+	for _, ep := range d.endpoints {
+		if !ep.gone {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// dropTurns forgets the keys of which nothing is about any more, each time their number has doubled.
+func (s *Sender) dropTurns() {
+	if len(s.turns) < 2*s.turnsLeft+64 {
+		return
+	}
+	maps.DeleteFunc(s.turns, func(_ string, t *turn) bool { return len(t.queue) == 0 && t.out == 0 && s.now >= t.rest })
+	s.turnsLeft = len(s.turns)
 }
 
 func seconds(x float64) time.Duration { return time.Duration(min(x, 1e6) * float64(time.Second)) }
