--- a/rules/rules.go
+++ b/rules/rules.go
@@ -42,7 +42,7 @@
 	minLate     = 500 * time.Millisecond  // least late-answer time: service times have long tails
 	maxLate     = 8 * time.Second         // most: a slow endpoint must still be found silent in time
 	patience    = 5                       // time-out of a repeatable call, in late-answer times; 3 is wasteful
-	haste       = 2                       // the same in a crowd short of slots; 5 lets lost answers fill them
+	haste       = 2                       // the same with all slots taken; 5 lets lost answers fill them
 	minPatience = 1500 * time.Millisecond // least such time-out: a connect and a service time
 	laneShare   = 0.4                     // of the slots that one lane may fill; 0.6 is even, all of them worse
 	goneMemory  = 30 * time.Second        // an endpoint gone this long: nothing known of it counts any more
@@ -730,8 +730,10 @@
 	return within + (1-within)*s.set.OverShareWorth
 }
 
-// freeSlot gives up the call that has been out longest, if it is long overdue. Guards against calls that are
-// never answered filling every slot; where answers are merely slow, it may give up one that was to come.
+// freeSlot gives up the call that has been out longest, if it is overdue. Guards against calls that are never
+// answered filling every slot, each of which could carry ten others meanwhile; where answers are merely slow,
+// it may give up one that was to come. In a crowd, which hardly knows what is late, what may not be repeated
+// gets longer.
 func (s *Sender) freeSlot() {
 	if !s.set.MayCancel {
 		return
@@ -741,10 +743,10 @@
 		if c.cancelled {
 			return // its slot is on the way
 		}
-		class, allowed := c.attempts[0].msg.class, patience*s.lateAfter(c.ep)
+		class, allowed := c.attempts[0].msg.class, haste*s.lateAfter(c.ep)
 		mayRepeat := class.Effect == Safe || class.Effect == Keyed && s.now-c.sent < class.Window/2
-		if mayRepeat && s.set.Senders > crowd {
-			allowed = haste * s.lateAfter(c.ep)
+		if !mayRepeat && s.set.Senders > crowd {
+			allowed = patience * s.lateAfter(c.ep)
 		}
 		if s.now-c.sent > allowed && (oldest == nil || c.sent < oldest.sent) {
 			oldest = c
