--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -34,13 +35,13 @@
 // site is a server before an exchange whose calls never end.
 type site struct {
 	*Server
-	t    *testing.T
+	t    testing.TB
 	ln   net.Listener
 	x    *exchange.Exchange
 	down atomic.Bool // not ready
 }
 
-func newSite(t *testing.T, set func(*rules.Settings), change func(*Config)) *site {
+func newSite(t testing.TB, set func(*rules.Settings), change func(*Config)) *site {
 	t.Helper()
 	led, err := ledger.Open(t.TempDir(), 2<<20, quiet)
 	if err != nil {
@@ -82,7 +83,7 @@
 // peer is a client's connection.
 type peer struct {
 	net.Conn
-	t  *testing.T
+	t  testing.TB
 	br *bufio.Reader
 }
 
@@ -465,6 +466,76 @@
 	}
 }
 
+// Whatever a client sends, it is answered or closed once it has ended, by answers that can be read, and no message is
+// taken on whose form is wrong.
+func FuzzClient(f *testing.F) {
+	s := newSite(f, nil, func(c *Config) { c.Slow = 2 * time.Second })
+	for _, text := range []string{
+		request("a") + request("b"), "\x00\xff\r\n\r\n", "GET /health/ready HTTP/1.1\r\n\r\n",
+		"POST /stock HTTP/1.1\r\nX: " + strings.Repeat("y", http1.MaxHead),
+		strings.Replace(request("c"), "Content-Length: 2", "Content-Length: -2", 1),
+		strings.Replace(request("d"), "Content-Length: 2", "Content-Length: 60000000", 1) + strings.Repeat("x", 100<<10),
+		strings.Replace(request("e"), "Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding:", 1) + request("hidden"),
+		request("f")[:60], strings.Repeat(strings.Replace(good, "Req-Id: ID\r\n", "", 1), 100),
+	} {
+		f.Add([]byte(text))
+	}
+	known := map[int]bool{200: true, 202: true, 400: true, 404: true, 405: true, 408: true, 409: true, 413: true, 429: true,
+		500: true, 501: true, 503: true}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		nc, err := net.Dial("tcp", s.ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		nc.SetDeadline(time.Now().Add(20 * time.Second))
+		go func() {
+			nc.Write(text) // it may be closed before all is written
+			nc.(*net.TCPConn).CloseWrite()
+		}()
+		br := bufio.NewReader(nc)
+		for {
+			r, err := http1.ReadPart(br, 1<<16)
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatal("neither answered nor closed")
+			}
+			if err != nil {
+				break
+			}
+			if r.Status != 100 && !known[r.Status] {
+				t.Fatalf("answered %d", r.Status)
+			}
+		}
+	})
+}
+
+// ask makes one request on a connection of its own.
+func (s *site) ask(text string) *http1.Response {
+	s.t.Helper()
+	p := s.dial()
+	p.send(text)
+	return p.answer()
+}
+
+// A request that could hide another in its body is refused and its connection closed, whichever way the coding is told.
+func TestHiddenRequests(t *testing.T) {
+	s := newSite(t, nil, nil)
+	for i, coding := range []string{"Transfer-Encoding: chunked", "Transfer-Encoding:", "Transfer-Encoding:\r\nTransfer-Encoding: chunked",
+		"transfer-encoding: identity"} {
+		hidden := request(fmt.Sprint("hidden-", i))
+		for _, length := range []string{"0", fmt.Sprint(len(hidden))} {
+			p := s.dial()
+			p.send(strings.Replace(good, "Content-Length: 2", coding+"\r\nContent-Length: "+length, 1) + hidden)
+			if r := p.answer(); r.Status != 501 || !r.Close || !p.closed() {
+				t.Errorf("%q: %+v", coding, r)
+			}
+		}
+		if r := s.ask(hidden); r.Status != 202 {
+			t.Errorf("%q: the hidden request was taken on: it is answered %d now", coding, r.Status)
+		}
+	}
+}
+
 func FuzzRequest(f *testing.F) {
 	s := &Server{classes: map[string]bool{"stock": true}}
 	f.Add("x", "stock", "16000", "dest=7")
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -11,6 +11,8 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"eiderhaven/internal/exchange"
@@ -37,6 +39,7 @@
 	wg   sync.WaitGroup
 
 	moment time.Duration // before the last byte of a call, at least
+	reset  atomic.Int64  // when a connection was last reset under a call, in Unix milliseconds
 }
 
 // New returns a pool without connections.
@@ -71,6 +74,7 @@
 	answerLimit = 500 * time.Millisecond // for an answer, from its first byte to its last
 	leastMoment = time.Millisecond
 	mostMoment  = 10 * time.Millisecond
+	waryFor     = 30 * time.Second // after a reset under a call, calls hold back their last byte
 )
 
 var errEndless = errors.New("too many interim answers")
@@ -273,12 +277,17 @@
 	return next, errors.Is(err, os.ErrDeadlineExceeded) && time.Since(c.since) < p.cfg.KeepAlive && socket.Silent(c.nc)
 }
 
-// write sends a call, its last byte after a moment in which the other side would break the connection if it has no use
-// for it any more: what breaks before the last byte has never run, and may be sent again whatever it is. Guards against
-// peers and what stands between that reset a connection at its next bytes; where resets take longer it costs the moment.
-// It is false if the last byte has not been written.
-func (c *conn) write(j *job) bool {
+// write sends a call. If connections have lately been reset under calls, its last byte goes after a moment in which the
+// other side would break the connection if it has no use for it any more: what breaks before the last byte has never
+// run, and may be sent again whatever it is. Guards against peers and what stands between that reset a connection at its
+// next bytes; where resets take longer it costs the moment, and some processor time. It is false if the last byte has not
+// been written.
+func (c *conn) write(j *job, wary bool) bool {
 	last := len(c.buf) - 1
+	if !wary {
+		_, err := c.nc.Write(c.buf)
+		return err == nil
+	}
 	if _, err := c.nc.Write(c.buf[:last]); err != nil {
 		return false
 	}
@@ -317,13 +326,16 @@
 		return true
 	}
 	c.buf = appendCall(c.buf[:0], j.call)
-	if !c.write(j) {
+	if !c.write(j, time.Since(time.UnixMilli(p.reset.Load())) < waryFor) {
 		j.attach(nil, nil)
 		p.finish(j, rules.ConnectError)
 		return false
 	}
 	resp, err := c.answer(j)
 	j.attach(nil, nil)
+	if resp == nil && errors.Is(err, syscall.ECONNRESET) {
+		p.reset.Store(time.Now().UnixMilli())
+	}
 	lost := rules.Reset
 	if j.givenUp() {
 		lost = rules.Cancelled
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -595,6 +596,7 @@
 		srv := breaking(t, answers)
 		s := newSide(t, nil)
 		s.moment = 200 * time.Millisecond // a reset comes sooner
+		s.reset.Store(time.Now().UnixMilli())
 		for range answers {
 			s.Start(callTo(srv.Addr(), "a"))
 			if d := testkit.Next(t, s.done, "result"); d.Items[0].Outcome != rules.OK {
@@ -609,6 +611,19 @@
 	}
 }
 
+// The first reset under a call is told as one, and makes the calls after it hold back their last byte.
+func TestResetMakesWary(t *testing.T) {
+	srv := breaking(t, 0)
+	s := newSide(t, nil)
+	s.moment = 200 * time.Millisecond
+	for i := range 2 {
+		s.Start(callTo(srv.Addr(), "a"))
+		if d := testkit.Next(t, s.done, "result"); d.Written != (i == 0) {
+			t.Errorf("call %d: %+v", i, d.Result)
+		}
+	}
+}
+
 // Giving a call up closes its connection; it was written, so it may have run.
 func TestCancelWhileWaiting(t *testing.T) {
 	got, release := make(chan struct{}), make(chan struct{})
@@ -664,6 +679,30 @@
 	}
 }
 
+// Whatever an endpoint answers, a spoilt answer never proves that a message did not run, and only a first line with 200
+// to a call with one message proves that it did.
+func FuzzSpoiltAnswer(f *testing.F) {
+	for _, text := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n", "HTTP/1.1 503 No\r\n\x00", "HTTP/1.1 410 Gone\r\n",
+		"HTTP/1.1 100 C\r\n\r\nHTTP/1.1 429 No\r\nWait-Ms: 9\r\nContent-Length: 1\r\n\r\n", "noise", "",
+		"HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\na accepted\r\nb accepted\r\n"} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		for _, call := range []*exchange.Call{callTo("x", "a"), callTo("x", "a", "b")} {
+			resp, err := http1.ReadResponse(bufio.NewReader(bytes.NewReader(text)), maxAnswer)
+			for _, r := range outcomes(call, resp, err, rules.Reset) {
+				delivered := r.Outcome == rules.OK && resp != nil && resp.Status == 200
+				if err != nil && (r.Outcome != rules.Reset && !(delivered && len(call.Items) == 1) || r.Over || r.NoSlot || r.Wait != 0) {
+					t.Fatalf("spoilt (%v): %+v", err, r)
+				}
+				if r.Outcome == rules.OK && !delivered {
+					t.Fatalf("not delivered: %+v", r)
+				}
+			}
+		}
+	})
+}
+
 func FuzzOutcomes(f *testing.F) {
 	f.Add(200, "a accepted\r\nb fault\r\n", "7", `{"x0":1}`)
 	f.Add(429, "", "-1", "{")
--- a/internal/registry/notices.go
+++ b/internal/registry/notices.go
@@ -28,9 +28,13 @@
 	sending int
 }
 
+// Time limits of a post. The platform answers at once and holds a message without its end for lost 300 ms after its
+// time, so a connection that has fallen silent must be given up well within that; a platform that is slow gets longer
+// with each time-out.
 const (
-	noticeLimit = time.Second
-	maxBatch    = 200
+	firstLimit = 150 * time.Millisecond
+	lastLimit  = 2 * time.Second
+	maxBatch   = 200
 )
 
 // NewNotices returns a queue that has not started.
@@ -59,7 +63,7 @@
 // Run delivers until the context ends.
 func (n *Notices) Run(ctx context.Context, sink Sink) {
 	defer n.client.close()
-	pause := firstPause
+	pause, limit := firstPause, firstLimit
 	for ctx.Err() == nil {
 		list := n.cut()
 		if len(list) == 0 {
@@ -70,10 +74,11 @@
 			continue
 		}
 		at := n.where.now()
-		if n.post(ctx, at, list, sink) {
-			pause = firstPause
+		if n.post(ctx, at, limit, list, sink) {
+			pause, limit = firstPause, firstLimit
 			continue
 		}
+		limit = min(2*limit, lastLimit)
 		select {
 		case <-ctx.Done():
 		case <-at.stay.Done(): // at once where discovery is now
@@ -98,8 +103,8 @@
 
 // post delivers one batch. One that was not accepted goes back to the end of the queue; where the platform could
 // not read it, notices go one by one from then on, so that a bad one does not hold up the others.
-func (n *Notices) post(ctx context.Context, at *place, list []ledger.Notice, sink Sink) bool {
-	resp, err := n.client.do(ctx, at, noticeLimit, "POST", "/status", encode(list))
+func (n *Notices) post(ctx context.Context, at *place, limit time.Duration, list []ledger.Notice, sink Sink) bool {
+	resp, err := n.client.do(ctx, at, limit, "POST", "/status", encode(list))
 	if err == nil && resp.Status == 204 {
 		ids := make([]string, len(list))
 		for i, one := range list {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -317,3 +318,41 @@
 		t.Error("moving counts as a failure")
 	}
 }
+
+// A connection on which nothing is answered any more costs a notice less than the platform waits for it; a platform that
+// is slow is heard in the end.
+func TestNoticeOverASilentConnection(t *testing.T) {
+	var posts atomic.Int32
+	end := make(chan struct{})
+	srv, err := toy.Listen("127.0.0.1:0", func(*http1.Request, []byte) *http1.Response {
+		if posts.Add(1) == 1 {
+			<-end
+		}
+		return &http1.Response{Status: 204}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer srv.Close()
+	defer close(end)
+	n, s := NewNotices(NewAddress(srv.Addr()), quiet), newSink()
+	n.Tell(ledger.Notice{ID: "a"})
+	start(t, func(ctx context.Context) { n.Run(ctx, s) })
+	testkit.Next(t, s.noticed, "word of acceptance")
+	if got := posts.Load(); got != 2 || firstLimit+firstPause >= 300*time.Millisecond {
+		t.Errorf("%d posts, the first given up after %v", got, firstLimit)
+	}
+
+	slow, err := toy.Listen("127.0.0.1:0", func(*http1.Request, []byte) *http1.Response {
+		time.Sleep(firstLimit + firstLimit/2) // slower than the first limit, within the next
+		return &http1.Response{Status: 204}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	n, s = NewNotices(NewAddress(slow.Addr()), quiet), newSink()
+	n.Tell(ledger.Notice{ID: "b"})
+	start(t, func(ctx context.Context) { n.Run(ctx, s) })
+	testkit.Next(t, s.noticed, "word of acceptance")
+}
