--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -54,6 +54,7 @@
 	Outcome rules.Outcome
 	Wait    time.Duration
 	NoSlot  bool
+	NoPlace bool // with ConnectError: the endpoint is there, and says that it holds all the connections it can
 	Over    bool // the endpoint says that the message is over: nothing more is owed
 	Report  rules.Report
 }
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -336,7 +336,7 @@
 		x.record(x.cfg.Ledger.Outcome(it.msg.ID, it.num, mayRun(r.Outcome)))
 	}
 	x.events = append(x.events, rules.Ended{ID: rules.MessageID(it.msg.ID), Attempt: it.num, Endpoint: f.ep,
-		Outcome: r.Outcome, Elapsed: x.now() - f.sent, Over: over, Wait: r.Wait, NoSlot: r.NoSlot, Report: r.Report})
+		Outcome: r.Outcome, Elapsed: x.now() - f.sent, Over: over, Wait: r.Wait, NoSlot: r.NoSlot, NoPlace: r.NoPlace, Report: r.Report})
 }
 
 // mayRun tells whether an attempt with this outcome may have run, by the protocol's table.
--- a/internal/outbound/call.go
+++ b/internal/outbound/call.go
@@ -92,7 +92,7 @@
 		case resp.Header.Get("Slots-Taken") == "1":
 			r.Outcome, r.NoSlot = rules.NotSent, true
 		case fresh && resp.Close:
-			r.Outcome = rules.ConnectError
+			r.Outcome, r.NoPlace = rules.ConnectError, true
 		default:
 			r.Outcome = rules.Full
 		}
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -136,8 +136,8 @@
 			}
 		}
 		for i, r := range got.Items {
-			if r.Outcome != c.want {
-				t.Errorf("%s, message %d: outcome %v, want %v", name, i, r.Outcome, c.want)
+			if r.Outcome != c.want || r.NoPlace != (c.want == rules.ConnectError) {
+				t.Errorf("%s, message %d: outcome %v, no place %v, want %v", name, i, r.Outcome, r.NoPlace, c.want)
 			}
 		}
 	}
--- a/rules/api.go
+++ b/rules/api.go
@@ -164,6 +164,7 @@
 	Over     bool          // the message has its final answer, by this outcome or before it
 	Wait     time.Duration // with Full: stay away this long
 	NoSlot   bool          // with NotSent: every slot was taken
+	NoPlace  bool          // with ConnectError: the endpoint is there, and says that it holds all the connections it can
 	Report   Report
 }
 
--- a/rules/harness_test.go
+++ b/rules/harness_test.go
@@ -94,6 +94,8 @@
 	o     Outcome
 	after time.Duration
 	wait  time.Duration
+
+	noPlace bool
 }
 
 // run lets time pass while a script answers every attempt, and returns when calls arrived.
@@ -118,7 +120,7 @@
 		ep := b.s.attempts[key].call.ep.id
 		r := script(ep)
 		pending = append(pending, due{b.now + r.after, Ended{ID: key.id, Attempt: key.num, Endpoint: ep,
-			Outcome: r.o, Elapsed: r.after, Over: r.o == OK, Wait: r.wait}})
+			Outcome: r.o, Elapsed: r.after, Over: r.o == OK, Wait: r.wait, NoPlace: r.noPlace}})
 	}
 	for end := b.now + d; b.now < end; {
 		b.now += 5 * ms
@@ -140,7 +142,7 @@
 					r.o, r.after = TimedOut, a.Timeout
 				}
 				pending = append(pending, due{b.now + r.after, Ended{ID: a.ID, Attempt: tries[a.ID], Endpoint: a.Endpoint,
-					Outcome: r.o, Elapsed: r.after, Over: r.o == OK, Wait: r.wait}})
+					Outcome: r.o, Elapsed: r.after, Over: r.o == OK, Wait: r.wait, NoPlace: r.noPlace}})
 				tries[a.ID]++
 				arrived = append(arrived, b.now)
 			case Cancel:
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -60,6 +60,7 @@
 	handshake   = 100 * time.Millisecond  // latency that a connection likely open saves; 250 ms is even
 
 	provenOpen = 60 // answers since a connect was turned away, after which connections stay open there again
+	perPlace   = 4  // messages for each connection to a full table: it takes three calls' time to open
 	crowd      = 12 // more senders than this can fill a table or push an endpoint by one call each
 
 	pollEvery = 250 * time.Millisecond // wake-ups while anything waits
@@ -386,8 +387,12 @@
 		s.succeeded(c, e.Elapsed)
 	case Full:
 		s.refused(ep, c.sent, e.Wait)
-	case Errored, TimedOut, Reset, ConnectError:
-		s.failed(ep, c.sent, e.Outcome)
+	case ConnectError, Errored, TimedOut, Reset:
+		if e.NoPlace {
+			s.turnedAway(ep)
+		} else {
+			s.failed(ep, c.sent, e.Outcome)
+		}
 	}
 	if e.Outcome == Errored || e.Outcome == TimedOut {
 		s.shun(c)
@@ -465,7 +470,7 @@
 		s.usual[c.class()].sample(elapsed)
 	}
 	v.ill, v.retryAt = 0, 0
-	ep.lastAnswer, ep.fails = s.now, 0
+	ep.lastAnswer, ep.fails, ep.knocks, ep.knockAt = s.now, 0, 0, 0
 	ep.delivered.add(s.now, deliveredMemory, 1)
 	ep.lane.refusals = 0
 	ep.lane.pace.lapse(s.lapsedAt)
@@ -500,6 +505,19 @@
 	}
 }
 
+// turnedAway takes the word that an endpoint holds all the connections it can, which is no failure: it serves
+// who has one, and with each call a place comes free. Guards against a crowd that knocks all the time; may be
+// late for a place. A call's time is the unit, doubled with each knock.
+func (s *Sender) turnedAway(ep *endpoint) {
+	s.unproven[ep.kind] = provenOpen
+	ep.knocks++
+	growth := math.Exp2(float64(min(ep.knocks, failStreak)))
+	ep.knockAt = s.now + seconds(ep.usually()*growth*(0.5+s.rng.Float64()))
+}
+
+// usually is the time to an answer, in seconds, a guess before the first.
+func (t *timing) usually() float64 { return cmp.Or(t.latency, firstLate.Seconds()/4) }
+
 // pause is how long a destination's failed endpoints are left alone: longer with each failure, up to the time
 // in which this sender's own traffic there would use its part of a cold destination's budget.
 func (s *Sender) pause(ep *endpoint) time.Duration {
@@ -636,10 +654,10 @@
 
 // yieldConnections closes connections as they fall idle in a crowd, from when a connect was turned away at a
 // kind until connects are proven there: idle ones fill tables. Costs handshakes. A connect without any answer
-// tells of an outage, not of a table.
+// tells of an outage, not of a table. With calls out, an idle one may be in use again already.
 func (s *Sender) yieldConnections() {
 	for _, ep := range s.idled {
-		if s.set.Senders > crowd && s.unproven[ep.kind] > 0 {
+		if s.crowded(ep) && len(ep.calls) == 0 {
 			s.act(CloseIdle{Endpoint: ep.id})
 		}
 	}
@@ -686,7 +704,7 @@
 // gate is the earliest time at which pace and health let a call go to an endpoint.
 func (s *Sender) gate(ep *endpoint) time.Duration {
 	ep.lane.pace.lapse(s.lapsedAt)
-	at := max(ep.lane.pace.haltUntil, ep.lane.pace.next)
+	at := max(ep.lane.pace.haltUntil, ep.lane.pace.next, ep.knockAt)
 	if ep.health != healthy {
 		at = max(at, ep.charged+s.gap(ep))
 	}
@@ -696,8 +714,12 @@
 	return at
 }
 
-// hasRoom tells whether one more call to the endpoint leaves slots for other lanes.
+// hasRoom tells whether one more call to the endpoint leaves slots for other lanes. Where places are scarce a
+// few messages share a connection, one by one: opening one takes as long as several calls.
 func (s *Sender) hasRoom(ep *endpoint) bool {
+	if s.crowded(ep) && len(ep.calls) > len(ep.dest.msgs)/perPlace {
+		return false
+	}
 	return ep.health == probation || ep.lane.inflight < max(2, int(laneShare*float64(s.set.Slots)))
 }
 
@@ -770,11 +792,7 @@
 
 // price orders endpoints: likely time to the answer.
 func (s *Sender) price(ep *endpoint) float64 {
-	t := firstLate.Seconds() / 4
-	if ep.known {
-		t = ep.latency
-	}
-	t *= 1 + float64(len(ep.calls))/2
+	t := ep.usually() * (1 + float64(len(ep.calls))/2)
 	if s.set.Senders > crowd {
 		t *= 1 + float64(ep.fails) // one pause for all that failed: let them take turns
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -923,6 +923,63 @@
 	}
 }
 
+// An endpoint that holds all the connections it can serves those who have one: the sender knocks again, ever more seldom,
+// takes it for no outage, and works on as soon as it is let in.
+func TestAFullTableIsKnockedAtAgain(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.Senders = 300; s.MaxAttempts = 100 })
+	b.serve(1, safe, 11)
+	b.take(safe)
+	full := true
+	script := func(EndpointID) reply {
+		if full {
+			return reply{o: ConnectError, after: 20 * ms, noPlace: true}
+		}
+		return reply{o: OK, after: 100 * ms}
+	}
+	b.end("m2", 0, 11, ConnectError, func(e *Ended) { e.NoPlace = true })
+	at := b.run(6*sec, script)
+	if len(at) < 4 || len(at) > 12 {
+		t.Errorf("%d knocks in 6 s at a call of 0.1 s, want 4 to 12", len(at))
+	}
+	if ep := b.s.endpoints[11]; ep.health != healthy || ep.fails != 0 {
+		t.Errorf("health %v after %d failures, want it taken for no outage", ep.health, ep.fails)
+	}
+	full = false
+	b.run(3*sec, script)
+	if n := len(b.s.held); n != 0 {
+		t.Errorf("%d messages held 3 s after places came free, want none", n)
+	}
+	if got := sends(b.step(Arrived{ID: "next", Destination: 1, TimeLeft: 16 * sec})); len(got) != 1 {
+		t.Errorf("%d calls of a message after it was let in, want one at once", len(got))
+	}
+}
+
+// Where places at an endpoint are scarce, a clump of messages goes over one connection, a long queue over more.
+func TestScarcePlacesAreShared(t *testing.T) {
+	for _, c := range []struct {
+		senders, held, want int
+	}{{300, 1, 1}, {300, perPlace - 1, 1}, {300, perPlace, 2}, {3, perPlace - 1, perPlace - 1}} {
+		b := newBench(t, func(s *Settings) { s.Senders = c.senders })
+		b.s.turnedAway(b.s.endpoints[11])
+		b.wait(10 * sec)
+		var events []Event
+		for range c.held {
+			events = append(events, Arrived{ID: b.arrive(safe), Destination: 1, TimeLeft: 16 * sec})
+		}
+		out := b.step(events...)
+		if n := len(sends(out)); n != c.want {
+			t.Errorf("%d senders, %d messages: %d calls at once, want %d", c.senders, c.held, n, c.want)
+		}
+		if c.held == perPlace-1 && c.senders > crowd { // the connection goes on to the next message before it is yielded
+			out = b.end("m1", 0, 11, OK)
+			if len(sends(out)) != 1 || len(pick[CloseIdle](out)) != 0 {
+				t.Errorf("after an answer %d calls and %d closed, want the next one on the same connection",
+					len(sends(out)), len(pick[CloseIdle](out)))
+			}
+		}
+	}
+}
+
 // A crowd that saw an outage must not try again all at once as it ends: rule 4 counts them together.
 func TestPauseAfterFailuresGrowsWithTheSenders(t *testing.T) {
 	calls := func(senders int) int {
--- a/rules/state.go
+++ b/rules/state.go
@@ -85,6 +85,9 @@
 	charged    time.Duration // the last call
 	renewed    time.Duration // when its connections were last renewed for silence
 
+	knocks  int           // connections turned away in a row, as the endpoint held all it can
+	knockAt time.Duration // no call before, after such a one
+
 	peak    int // most calls out at once while connections stayed open
 	lastUse time.Duration
 }
@@ -510,6 +513,9 @@
 	return float64(len(d.msgs)) / max(d.served.perSecond(s.now, deliveredMemory), 1e-3)
 }
 
+// crowded tells whether the endpoint's connection table may be full: one of its kind was lately, and many share it.
+func (s *Sender) crowded(ep *endpoint) bool { return s.set.Senders > crowd && s.unproven[ep.kind] > 0 }
+
 // quiet is how long an endpoint with calls out has answered nothing.
 func (s *Sender) quiet(ep *endpoint) time.Duration {
 	if len(ep.calls) == 0 {
