--- a/rules/rules.go
+++ b/rules/rules.go
@@ -60,6 +60,7 @@
 	handshake   = 100 * time.Millisecond  // latency that a connection likely open saves; 250 ms is even
 
 	provenOpen = 60 // answers since a connect was turned away, after which connections stay open there again
+	startOpen  = 5  // the same where none was turned away yet: holders never are, and 15 cost handshakes
 	perPlace   = 4  // messages for each connection to a full table: it takes three calls' time to open
 	crowd      = 12 // more senders than this can fill a table or push an endpoint by one call each
 
@@ -460,7 +461,7 @@
 // may have been served before the outage.
 func (s *Sender) succeeded(c *call, elapsed time.Duration) {
 	ep, sent, v := c.ep, c.sent, c.service()
-	s.unproven[ep.kind] = max(0, s.unproven[ep.kind]-1)
+	s.proven[ep.kind]++
 	if !s.stood { // else the answer may have lain here
 		if v.known {
 			s.slowness += latGain * (elapsed.Seconds()/max(v.latency, 1e-3) - s.slowness)
@@ -494,7 +495,7 @@
 		return // one call lost where others are answered
 	}
 	if why == ConnectError && s.now-sent < s.set.ConnectTimeout/2 {
-		s.unproven[ep.kind] = provenOpen
+		s.proven[ep.kind] = startOpen - provenOpen
 	}
 	if ep.fails++; ep.fails == 1 && ep.health == healthy {
 		ep.failing = sent
@@ -509,7 +510,7 @@
 // who has one, and with each call a place comes free. Guards against a crowd that knocks all the time; may be
 // late for a place. A call's time is the unit, doubled with each knock.
 func (s *Sender) turnedAway(ep *endpoint) {
-	s.unproven[ep.kind] = provenOpen
+	s.proven[ep.kind] = startOpen - provenOpen
 	ep.knocks++
 	growth := math.Exp2(float64(min(ep.knocks, failStreak)))
 	ep.knockAt = s.now + seconds(ep.usually()*growth*(0.5+s.rng.Float64()))
@@ -652,8 +653,8 @@
 	return s.cured.perSecond(s.now, deliveredMemory) > 1/deliveredMemory.Seconds()
 }
 
-// yieldConnections closes connections as they fall idle in a crowd, from when a connect was turned away at a
-// kind until connects are proven there: idle ones fill tables. Costs handshakes. A connect without any answer
+// yieldConnections closes connections as they fall idle in a crowd, until connects are proven at a kind: idle
+// ones fill tables, and who holds one is never turned away. Costs handshakes. A connect without any answer
 // tells of an outage, not of a table. With calls out, an idle one may be in use again already.
 func (s *Sender) yieldConnections() {
 	for _, ep := range s.idled {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -892,7 +892,7 @@
 }
 
 // Hundreds of senders share an endpoint's few connections. Only a connect that is turned away tells of a full table; one
-// that nobody answers tells of an outage.
+// that nobody answers tells of an outage. Those who have a place are never turned away, so none keeps one at first.
 func TestACrowdYieldsIdleConnections(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -901,8 +901,9 @@
 		answers int           // at the kind, since
 		want    int           // closed after one more
 	}{
-		{"a crowd that was never turned away", 300, 0, 0, 0},
-		{"a crowd whose connect timed out", 300, sec, 0, 0},
+		{"a crowd at its start", 300, 0, startOpen - 2, 1},
+		{"a crowd that was never turned away", 300, 0, startOpen - 1, 0},
+		{"a crowd whose connect timed out", 300, sec, startOpen - 1, 0},
 		{"a crowd, turned away", 300, 50 * ms, 0, 1},
 		{"a crowd, connects nearly proven again", 300, 50 * ms, provenOpen - 2, 1},
 		{"a crowd, connects proven again", 300, 50 * ms, provenOpen - 1, 0},
--- a/rules/state.go
+++ b/rules/state.go
@@ -174,7 +174,7 @@
 	cured     meter       // silences that a fresh connection ended
 	quotas    float64     // of all tenants
 	slowness  float64     // how long answers take lately, over what they took before at the same endpoint
-	unproven  map[int]int // by kind, since a connect was turned away: answers to come before connections stay open
+	proven    map[int]int // by kind, answers since a connect was turned away; below startOpen connections are yielded
 	idled     []*endpoint // had a call end in this step
 	callers   []*endpoint // reused by calling
 	overdue   int         // calls out that are unusually late
@@ -190,7 +190,7 @@
 func New(set Settings) *Sender {
 	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never, endAt: never,
 		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
-		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, unproven: map[int]int{}, arrivals: make([]meter, len(set.Tenants)),
+		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, proven: map[int]int{}, arrivals: make([]meter, len(set.Tenants)),
 		usual: make([]timing, len(set.Classes)), slowness: 1}
 	for _, t := range set.Tenants {
 		s.quotas += t.Quota
@@ -513,8 +513,10 @@
 	return float64(len(d.msgs)) / max(d.served.perSecond(s.now, deliveredMemory), 1e-3)
 }
 
-// crowded tells whether the endpoint's connection table may be full: one of its kind was lately, and many share it.
-func (s *Sender) crowded(ep *endpoint) bool { return s.set.Senders > crowd && s.unproven[ep.kind] > 0 }
+// crowded tells whether the endpoint's connection table may be full: many share it, and it is not proven otherwise.
+func (s *Sender) crowded(ep *endpoint) bool {
+	return s.set.Senders > crowd && s.proven[ep.kind] < startOpen
+}
 
 // quiet is how long an endpoint with calls out has answered nothing.
 func (s *Sender) quiet(ep *endpoint) time.Duration {
