--- a/rules/fleet_test.go
+++ b/rules/fleet_test.go
@@ -345,3 +345,101 @@
 		t.Errorf("pushed %.2f times as hard as without restarts, want 1.1 at most", with/without)
 	}
 }
+
+// limited is an endpoint that takes so many calls a second from all senders together and turns away the rest.
+type limited struct {
+	f             *fleet
+	rate, room    float64 // calls a second; calls that may come now
+	last          time.Duration
+	taken, turned int
+}
+
+func (l *limited) call(_ int, done func(Ended)) {
+	l.room = min(l.room+l.rate*(l.f.now-l.last).Seconds(), max(1, l.rate/2))
+	l.last = l.f.now
+	out := Full
+	if l.room >= 1 {
+		l.room--
+		l.taken++
+		out = OK
+	} else {
+		l.turned++
+	}
+	l.f.after(60*ms, func() { done(Ended{Outcome: out}) })
+}
+
+func (l *limited) closeIdle(int) {}
+
+// Three hundred senders have an endpoint that takes 100 calls a second, 60 of which they use, and then 10. They go on using
+// all of it, while ever fewer calls are turned away: 960 in the first 10 s, 380 in the fifth, of 600 messages each. Without
+// paces it is 1,940 and 600; with a least pace of 1 call a second of each sender, however often refused, 1,160 and 500.
+func TestALimitLoweredToATenth(t *testing.T) {
+	for seed := range uint64(3) {
+		var at *limited
+		f := newFleet(seed, 300, nil, func(f *fleet) receiver {
+			at = &limited{f: f, rate: 100, last: f.now}
+			return at
+		})
+		f.traffic(70*sec, 60, safe)
+		f.run(20 * sec)
+		at.rate = 10
+		var turned []int
+		for span := range 5 {
+			at.taken, at.turned = 0, 0
+			f.run(10 * sec)
+			if turned = append(turned, at.turned); at.taken < 95 {
+				t.Errorf("seed %d, 10 s number %d: %d calls taken at a limit of 10 a second, want 95 at least", seed, span, at.taken)
+			}
+		}
+		if turned[0] > 1100 || turned[4] > 450 {
+			t.Errorf("seed %d: turned away in each 10 s %v, want at most 1100 in the first and 450 in the last", seed, turned)
+		}
+		f.run(30 * sec)
+		if f.inTime+f.late+f.lost != f.n {
+			t.Errorf("seed %d: %d of %d messages have an end", seed, f.inTime+f.late+f.lost, f.n)
+		}
+	}
+}
+
+// deaf is an endpoint that loses its answers for a while: the work is done, nobody hears of it.
+type deaf struct {
+	f        *fleet
+	from, to time.Duration
+	calls    int
+}
+
+func (d *deaf) call(_ int, done func(Ended)) {
+	d.calls++
+	if d.f.now >= d.from && d.f.now < d.to {
+		d.f.after(1500*ms, func() { done(Ended{Outcome: TimedOut}) })
+		return
+	}
+	d.f.after(60*ms, func() { done(Ended{Outcome: OK}) })
+}
+
+func (d *deaf) closeIdle(int) {}
+
+// All answers are lost for 6 s. What the senders make of it is over soon after: messages handed in from ten seconds on
+// are delivered in time, and few calls were made in vain.
+func TestAnswersLostForSixSeconds(t *testing.T) {
+	for seed := range uint64(3) {
+		var at *deaf
+		f := newFleet(seed, 300, nil, func(f *fleet) receiver {
+			at = &deaf{f: f, from: f.now + 20*sec, to: f.now + 26*sec}
+			return at
+		})
+		f.traffic(80*sec, 60, safe)
+		f.run(36 * sec)
+		late, lost, n, held := f.late, f.lost, f.n, f.n-f.inTime-f.late-f.lost
+		if at.calls > n*5/4 {
+			t.Errorf("seed %d: %d calls for %d messages, want a quarter more at most", seed, at.calls, n)
+		}
+		f.run(80 * sec)
+		if bad := f.late + f.lost - late - lost; bad > held+(f.n-n)/20 {
+			t.Errorf("seed %d: %d of %d messages late or lost from then on, %d held before, want one in twenty and those", seed, bad, f.n-n, held)
+		}
+		if f.inTime+f.late+f.lost != f.n {
+			t.Errorf("seed %d: %d of %d messages have an end", seed, f.inTime+f.late+f.lost, f.n)
+		}
+	}
+}
