Hundreds of senders are played in the lab; its judge takes the place of a test's own

The lab learned to tell a full table from a refused connect (on sockets by a 503 that closes), to hand on failed attempts over a restart, and a shut destination may tell how long. The hard case of a list 10 s late with half of it replaced is in it.

--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -333,7 +333,7 @@
 		x.over(h)
 		over = true
 	default:
-		x.record(x.cfg.Ledger.Outcome(it.msg.ID, it.num, mayRun(r.Outcome), failed(r)))
+		x.record(x.cfg.Ledger.Outcome(it.msg.ID, it.num, r.Outcome.MayRun(), failed(r)))
 	}
 	x.events = append(x.events, rules.Ended{ID: rules.MessageID(it.msg.ID), Attempt: it.num, Endpoint: f.ep,
 		Outcome: r.Outcome, Elapsed: x.now() - f.sent, Over: over, Wait: r.Wait, NoSlot: r.NoSlot, NoPlace: r.NoPlace, Report: r.Report})
@@ -341,14 +341,5 @@
 
 // failed tells whether a result speaks of an endpoint in trouble rather than of a limit or a full table.
 func failed(r ItemResult) bool {
-	return mayRun(r.Outcome) || r.Outcome == rules.ConnectError && !r.NoPlace
-}
-
-// mayRun tells whether an attempt with this outcome may have run, by the protocol's table.
-func mayRun(o rules.Outcome) bool {
-	switch o {
-	case rules.Full, rules.ConnectError, rules.NotSent:
-		return false
-	}
-	return true
+	return r.Outcome.MayRun() || r.Outcome == rules.ConnectError && !r.NoPlace
 }
--- a/lab/live/receivers.go
+++ b/lab/live/receivers.go
@@ -297,7 +297,7 @@
 func (v *Receivers) serve(nc net.Conn, ep *receiver.Endpoint) {
 	pool := &network.Pool{KeepAlive: 24 * time.Hour}
 	var conn *network.Conn
-	var silent bool
+	var full, silent bool
 	reset := func() { // as a process that dies does
 		if tc, ok := nc.(*net.TCPConn); ok {
 			_ = tc.SetLinger(0) // only makes the close abrupt
@@ -305,14 +305,14 @@
 		nc.Close()
 	}
 	ok := v.loop.Do(func() {
-		if conn, silent = ep.Connect(pool, v.loop.Q.Now()); conn != nil {
+		if conn, full, silent = ep.Connect(pool, v.loop.Q.Now()); conn != nil {
 			conn.OnClose = reset
 		}
 	})
 	if !ok {
 		return
 	}
-	if conn == nil && !silent {
+	if conn == nil && !full && !silent {
 		v.count(func(c *Counts) { c.Refused++ })
 		reset()
 		return
@@ -330,6 +330,11 @@
 		if silent { // it came up while the machine was away: nobody reads
 			continue
 		}
+		if full {
+			v.count(func(c *Counts) { c.Refused++ })
+			_, _ = nc.Write(http1.AppendResponse(nil, 503, http1.Header{{Name: "Connection", Value: "close"}}, nil))
+			return
+		}
 		answer := v.call(ep, conn, r, requests)
 		if answer == nil {
 			continue
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -35,10 +35,11 @@
 
 // Outcome is how an endpoint ended a call.
 type Outcome struct {
-	What   rules.Outcome
-	Wait   time.Duration
-	Report rules.Report
-	Silent bool // it was served, and no answer will come
+	What    rules.Outcome
+	Wait    time.Duration
+	NoPlace bool // with a failed connect: the endpoint holds all the connections it can
+	Report  rules.Report
+	Silent  bool // it was served, and no answer will come
 }
 
 // End is how a message ended at a sender.
--- a/lab/receiver/receiver.go
+++ b/lab/receiver/receiver.go
@@ -253,6 +253,7 @@
 	paused int
 	seen   map[string]time.Duration
 	born   time.Duration
+	opens  time.Duration // while it is shut, the wait that it tells lasts until then
 
 	Refusing int     // connects are refused
 	Dark     int     // silent: nothing gets in or out
@@ -277,15 +278,17 @@
 	return ep
 }
 
-// Connect answers an attempt to open a connection: a connection, a refusal, or nothing at all.
-func (ep *Endpoint) Connect(p *network.Pool, now time.Duration) (c *network.Conn, silent bool) {
+// Connect answers an attempt to open a connection: a connection, a refusal, the word that it holds all it can (full), or
+// nothing at all.
+func (ep *Endpoint) Connect(p *network.Pool, now time.Duration) (c *network.Conn, full, silent bool) {
 	switch {
 	case ep.Dark > 0:
-		return nil, true
+		return nil, false, true
 	case ep.Refusing > 0 || ep.Unit.Fallen || ep.Removed:
-		return nil, false
+		return nil, false, false
 	}
-	return ep.Table.Accept(p, now), false
+	c = ep.Table.Accept(p, now)
+	return c, c == nil, false
 }
 
 // Take takes a call that has arrived. Its Done is told the outcome, now or later, or never.
@@ -306,7 +309,7 @@
 		return
 	}
 	if ep.Shut > 0 {
-		ep.refuse(c, 0, false)
+		ep.refuse(c, max(0, ep.opens-now), false)
 		return
 	}
 	if ep.Failing > 0 && ep.r.Float64() < ep.Failing {
@@ -559,6 +562,9 @@
 	}
 }
 
+// OpensIn sets the end of the waits that the endpoint tells while it is shut.
+func (ep *Endpoint) OpensIn(d time.Duration) { ep.opens = ep.q.Now() + d }
+
 // Hang makes the endpoint take calls and answer none.
 func (ep *Endpoint) Hang() { ep.Hung++ }
 
--- a/lab/sender/sender.go
+++ b/lab/sender/sender.go
@@ -97,6 +97,7 @@
 	ran      time.Duration // send time of the earliest attempt that may have run
 	ranAt    rules.EndpointID
 	mayRun   bool
+	failed   int // attempts, for the next process
 	seq      int // order of taking
 }
 
@@ -148,7 +149,7 @@
 
 func (h *Host) arrived(k *holding, now time.Duration) rules.Arrived {
 	e := rules.Arrived{ID: k.m.ID, Destination: k.m.Dest, Class: k.m.Class, Tenant: k.m.Tenant, OrderKey: k.m.Key,
-		TimeLeft: k.m.Deadline - now, Before: rules.Before{Attempts: k.attempts}}
+		TimeLeft: k.m.Deadline - now, Before: rules.Before{Attempts: k.attempts, Failed: k.failed}}
 	if k.mayRun {
 		e.Before.MayRun, e.Before.Ago, e.Before.At = true, now-k.ran, k.ranAt
 	}
@@ -438,7 +439,7 @@
 		if h.epoch != epoch || c.Gone {
 			return
 		}
-		conn, silent := ep.Connect(&c.pool.Pool, h.w.Queue.Now())
+		conn, full, silent := ep.Connect(&c.pool.Pool, h.w.Queue.Now())
 		switch {
 		case silent:
 			h.line.At(max(now+h.Settings.ConnectTimeout, h.w.Queue.Now()), func() {
@@ -447,7 +448,7 @@
 				}
 			})
 		case conn == nil:
-			h.answer(c, model.Outcome{What: rules.ConnectError})
+			h.answer(c, model.Outcome{What: rules.ConnectError, NoPlace: full})
 		default:
 			c.conn = conn
 			h.deliver(c)
@@ -490,16 +491,17 @@
 		delete(h.live, c)
 	}
 	f.h.out = slices.DeleteFunc(f.h.out, func(x *flight) bool { return x == f })
-	h.report(f, c.pool.ep.ID, rules.Ended{Outcome: o.What, Elapsed: h.w.Queue.Now() - c.Sent, Wait: o.Wait, Report: o.Report})
+	h.report(f, c.pool.ep.ID, rules.Ended{Outcome: o.What, Elapsed: h.w.Queue.Now() - c.Sent, Wait: o.Wait, NoPlace: o.NoPlace, Report: o.Report})
 }
 
 func (h *Host) report(f *flight, ep rules.EndpointID, e rules.Ended) {
 	now, k := h.w.Queue.Now(), f.h
 	f.done = true
 	e.ID, e.Attempt, e.Endpoint = k.m.ID, f.num, ep
-	switch e.Outcome {
-	case rules.Full, rules.ConnectError, rules.NotSent:
-	default:
+	if e.Outcome.MayRun() || e.Outcome == rules.ConnectError && !e.NoPlace {
+		k.failed++
+	}
+	if e.Outcome.MayRun() {
 		if f.call != nil && (!k.mayRun || f.call.Sent < k.ran) {
 			k.mayRun, k.ran, k.ranAt = true, f.call.Sent, ep
 		}
--- a/lab/trouble/shut.go
+++ b/lab/trouble/shut.go
@@ -6,8 +6,13 @@
 )
 
 func init() {
-	register("shut", "endpoints turn every call away as full, without a wait; they come back cold", nil,
+	register("shut", "endpoints turn every call away as full; they come back cold; size: 1 if they tell to wait until then, as often as limit.tells says, 0 if not",
+		sizeFrom(0, 1, "1 (a wait is told) or 0 is expected"),
 		onEndpoints(always,
-			func(ep *receiver.Endpoint, _ scenario.Trouble) { ep.Shut++ },
+			func(ep *receiver.Endpoint, t scenario.Trouble) {
+				if ep.Shut++; t.Size >= 1 {
+					ep.OpensIn(t.For.D())
+				}
+			},
 			func(ep *receiver.Endpoint, _ scenario.Trouble) { ep.Shut-- }))
 }
--- /dev/null
+++ b/lab/world/hundreds_test.go
@@ -0,0 +1,63 @@
+package world
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhaven/lab/scenario"
+)
+
+// strike is a trouble of everything there is, 15 s into the day.
+func strike(kind string, length time.Duration, size float64) scenario.Trouble {
+	return scenario.Trouble{Kind: kind, At: scenario.Duration(15 * time.Second), For: scenario.Duration(length), Part: 1, Size: size, By: "destination"}
+}
+
+// restarts kills seven in ten senders at once, their state kept, one second before an outage of 8 s ends.
+var restarts = scenario.Trouble{Kind: "restart", At: scenario.Duration(22 * time.Second), For: scenario.Duration(10 * time.Millisecond),
+	Part: 0.7, Size: 1, Extra: scenario.Duration(600 * time.Millisecond), By: "destination"}
+
+// TestHundredsOfSenders plays what is harmless in one sender and may be harmful over hundreds of them: no rule is broken, so
+// much of the day's worth is served, and so many calls are made for each message at most.
+func TestHundredsOfSenders(t *testing.T) {
+	halfReplaced := strike("drain", time.Second, 0)
+	halfReplaced.Part, halfReplaced.By, halfReplaced.Extra = 0.5, "endpoint", scenario.Duration(time.Second)
+	for _, row := range []struct {
+		name     string
+		set      []string
+		troubles []scenario.Trouble
+		served   float64
+		calls    float64
+	}{
+		{"nothing wrong", nil, nil, 0.99, 1.01},
+		{"a table of twelve connections", []string{"kind.partner.connections", "12"}, nil, 0.7, 1.9},
+		{"down, and cold again", nil, []scenario.Trouble{strike("crash", 8*time.Second, 0)}, 0.82, 1.2},
+		{"restarted just before a cold return", nil, []scenario.Trouble{strike("crash", 8*time.Second, 0), restarts}, 0.82, 1.2},
+		{"restarted just before one from silence", nil, []scenario.Trouble{strike("vanish", 8*time.Second, 0), restarts}, 0.82, 1.2},
+		{"all answers lost for 6 s", nil, []scenario.Trouble{strike("lost_answers", 6*time.Second, 1)}, 0.84, 1.1},
+		{"a limit lowered to a tenth", []string{"kind.partner.limit.rate", "100", "kind.partner.limit.type", "rate"},
+			[]scenario.Trouble{strike("limit_cut", time.Minute, 0.1)}, 0.27, 1.35},
+		{"a list 10 s late, half of it replaced", []string{"kind.partner.endpoints", "[4, 4]", "kind.partner.servers", "1",
+			"registry.lag", `{ dist = "constant", mean = "10s" }`}, []scenario.Trouble{halfReplaced}, 0.93, 1.35},
+	} {
+		for seed := range uint64(3) {
+			s := load(t, "../scenarios/hundreds.toml", row.set...)
+			s.Troubles = row.troubles
+			t.Run(row.name, func(t *testing.T) {
+				t.Parallel()
+				r, err := Run(s, Options{Seed: seed, Workers: 1})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, b := range r.Breaks {
+					t.Errorf("seed %d: %v\n\t%s", seed, b, strings.Join(b.Trail, "\n\t"))
+				}
+				calls := float64(r.Calls) / float64(r.Asked)
+				if r.Whole < row.served || calls > row.calls || len(r.Faults) > 0 || r.Stopped != "" {
+					t.Errorf("seed %d: served %.3f, %.2f calls a message, faults %v, stopped %q; want %.2f at least and %.2f at most",
+						seed, r.Whole, calls, r.Faults, r.Stopped, row.served, row.calls)
+				}
+			})
+		}
+	}
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -121,6 +121,9 @@
 	NotSent              // it never left this sender
 )
 
+// MayRun tells whether an attempt with this outcome may have run, by the protocol's table.
+func (o Outcome) MayRun() bool { return o != Full && o != ConnectError && o != NotSent }
+
 // Report is what a destination tells of its limit with an answer.
 type Report struct {
 	Left  float64 // share of the allowance that is left
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -339,16 +339,11 @@
 		s.forget(m)
 		return
 	}
-	switch e.Outcome {
-	case Full:
-		if s.set.Senders > crowd {
-			m.notBefore = s.now + seconds(s.refusedPause(m.class)*float64(m.tries)*(0.5+s.rng.Float64()))
-		}
-	case ConnectError, NotSent:
-	default:
-		if a.call.sent < m.mayRun {
-			m.mayRun, m.mayRunAt = a.call.sent, a.call.ep
-		}
+	if e.Outcome == Full && s.set.Senders > crowd {
+		m.notBefore = s.now + seconds(s.refusedPause(m.class)*float64(m.tries)*(0.5+s.rng.Float64()))
+	}
+	if e.Outcome.MayRun() && a.call.sent < m.mayRun {
+		m.mayRun, m.mayRunAt = a.call.sent, a.call.ep
 	}
 	if len(m.out) == 0 && s.spent(m) {
 		s.end(m)
