A crowd's refusal starts probation; a cold budget's least part no more than own traffic

Ruled out: told waits (none), notes (lost by peer_down, or not allowed), single senders over a call a second (none), second copies.

Cause: refused() wanted three refusals over 5 s for an outage, which a sparse sender sees late or never; gap() never went under leastPart, 0.3 a second of every sender, whatever the size of the crowd.

Change: in a crowd each refusal starts probation of its lane; for briefTrouble the pace spaces the trials and an answer ends it unramped (briefCures), later ones keep the cold gap. The least part is min(leastPart, own traffic there).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -471,7 +471,7 @@
 	ep.lane.pace.lapse(s.lapsedAt)
 	ep.lane.pace.onSuccess(s.now)
 	switch {
-	case ep.health == probation && sent >= ep.since && sent-ep.failing < briefTrouble && ep.unanswered():
+	case ep.health == probation && sent >= ep.since && sent-ep.failing < briefTrouble && ep.briefCures():
 		ep.health, ep.since = healthy, s.now
 		s.cured.add(s.now, deliveredMemory, 1)
 	case ep.health == probation && sent >= ep.since:
@@ -566,10 +566,19 @@
 // unanswered tells whether an endpoint is on probation for silence, not for what it answered.
 func (ep *endpoint) unanswered() bool { return ep.symptom == TimedOut || ep.symptom == ConnectError }
 
+// briefCures tells whether the endpoint's trouble leaves nothing cold if an answer ends it soon: silence and
+// refusals do, errors not.
+func (ep *endpoint) briefCures() bool { return ep.unanswered() || ep.symptom == Full }
+
 // refused takes a refusal as full: the pace's matter, unless it lasts, which a limit's refusals do not. Then
 // the destination is shut and comes back cold. In a crowd the first gap is any part of a whole one, so that
 // not all fall silent and resume together. The least pace holds for the first refusal in a row only: many
 // senders at their least would push over what returns from a hang, which refuses all.
+// A crowd's sender makes few calls to a destination, and a hang or a shutdown may show it a refusal or two,
+// late, before the return. So in a crowd each refusal starts probation: the pace spaces trials for
+// briefTrouble, an answer within it ends the trouble unramped, and later ones go by the cold gap. Guards
+// against any crowd that is refused all along and returns on a cold destination together (rule 4); costs a
+// ramp wherever a limit refuses a sparse sender for longer than that.
 func (s *Sender) refused(ep *endpoint, sent, wait time.Duration) {
 	l, first := ep.lane, 1.0
 	l.pace.lapse(s.lapsedAt)
@@ -585,11 +594,18 @@
 		l.refusedAt = sent
 	}
 	l.refusals++
-	if wait < longWait && (l.refusals < refusalStreak || s.now-l.refusedAt < refusalSpan) {
+	streak, span := refusalStreak, refusalSpan
+	if s.set.Senders > crowd { // see probation: one refusal may be all that a sparse sender sees of a hang
+		streak, span = 1, 0
+	}
+	if wait < longWait && (l.refusals < streak || s.now-l.refusedAt < span) {
 		return
 	}
 	for _, other := range ep.dest.endpoints {
 		if other.lane == l && other.health != probation {
+			if other.health == healthy {
+				other.failing = l.refusedAt
+			}
 			s.suspend(other, Full)
 		}
 	}
@@ -698,10 +714,15 @@
 	if !s.set.RatesExact {
 		part /= 2 // it may be half too high
 	}
-	rate := s.set.OverloadFactor * max(ep.base, part, leastPart) * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
+	own := ep.dest.wanted.perSecond(s.now, deliveredMemory) / float64(ep.dest.width())
+	least := min(leastPart, own) // a crowd's sparse senders all have something after a long outage
+	rate := s.set.OverloadFactor * max(ep.base, part, least) * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
 	gap := seconds(min(longest, 1/max(rate, 1e-3)))
 	if ep.health == probation { // young trouble cannot have left anything cold
 		gap = min(gap, max(s.now-ep.failing, minLate)*time.Duration(max(s.set.Senders, 3))/6)
+		if ep.symptom == Full && s.now-ep.failing < briefTrouble {
+			gap = 0 // what refuses answers: the pace spaces the trials
+		}
 	}
 	return gap
 }
