Settings refused by key and value at load; wire fields that are not read are counted

internal/simwire decodes each line strictly first; a field that the adapter does not read is counted by verb (the first of a line) and the line read again without it.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -25,6 +25,9 @@
 	for {
 		batch, err := dec.Read()
 		if errors.Is(err, io.EOF) {
+			if len(dec.Unknown) > 0 { // standard error is the adapter's own
+				fmt.Fprintln(os.Stderr, "simhost: fields skipped, by verb:", dec.Unknown)
+			}
 			return nil
 		}
 		if err != nil {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -117,8 +117,8 @@
 {"verb":"flush"}
 `
 	replies, stderr, err := drive(t, host, input)
-	if err != nil || stderr != "" {
-		t.Fatalf("ended with %v: %s", err, stderr)
+	if want := "simhost: fields skipped, by verb: map[new_request.some_new_field:1]\n"; err != nil || stderr != want {
+		t.Fatalf("ended with %v: %q, want %q", err, stderr, want)
 	}
 	if len(replies) != 5 || len(replies[0])+len(replies[1]) != 0 {
 		t.Fatalf("%d replies, want 5, the first two empty: %v", len(replies), replies)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -36,7 +36,12 @@
 	within("safety.drain_grace_us", float64(e.Safety.DrainGrace), 0, hour)
 	within("safety.fall_us", float64(e.Safety.Fall), 0, hour)
 	within("safety.order_pause_us", float64(e.Safety.OrderPause), 0, hour)
-	within("safety.overload_factor", e.Safety.OverloadFactor, 0, 1000)
+	within("safety.overload_factor", e.Safety.OverloadFactor, 1, 1000) // below 1 any load pushes a return over
+	within("safety.grace_to_answer_us", float64(e.Safety.AnswerGrace), 0, hour)
+	within("safety.ask_every_us", float64(e.Safety.AskEvery), 0, hour)
+	within("allowed.keepalive_us", float64(e.Allowed.KeepAlive), 0, hour)
+	within("allowed.max_retry_after_us", float64(e.Allowed.MaxRetryAfter), 0, hour)
+	within("allowed.max_attempts", float64(e.Allowed.MaxAttempts), 1, most)
 	within("safety.warm_up_us", float64(e.Safety.WarmUp), 0, hour)
 	within("number of request_classes", float64(len(e.Classes)), 1, most)
 	for i, c := range e.Classes {
@@ -44,6 +49,8 @@
 		within(key+"deadline_us", float64(c.Deadline), 1, hour)
 		within(key+"goal_time_us", float64(c.GoalTime), 0, float64(c.Deadline))
 		within(key+"late_worth", c.LateWorth, 0, 1)
+		within(key+"window_us", float64(c.Window), 0, hour)
+		within(key+"worth", c.Worth, 0, most)
 	}
 	if len(wrong) > 0 {
 		return errors.New(strings.Join(wrong, "; "))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -72,7 +72,12 @@
 		{`"request_classes"`, `"classes"`, "number of request_classes is 0, want 1 to 1000000"},
 		{`"balancers": 1,`, `"balancers": 0, "tick_us": 0, "unread": {`, ""}, // spoilt on top: the form comes first
 		{`"warm_up_us": 10000000}`, `"warm_up_us": -1, "overload_factor": -1}`,
-			"safety.overload_factor is -1, want 0 to 1000; safety.warm_up_us is -1, want 0 to 3600000000"},
+			"safety.overload_factor is -1, want 1 to 1000; safety.warm_up_us is -1, want 0 to 3600000000"},
+		{`"overload_factor": 2.0`, `"overload_factor": 0.5`, "safety.overload_factor is 0.5, want 1 to 1000"},
+		{`"grace_to_answer_us": 20000`, `"grace_to_answer_us": -20000`,
+			"safety.grace_to_answer_us is -20000, want 0 to 3600000000"},
+		{`"max_attempts": 12`, `"max_attempts": 0`, "allowed.max_attempts is 0, want 1 to 1000000"},
+		{`"late_worth": 0.4, "worth": 2`, `"late_worth": 0.4, "worth": -2`, "request_classes[1].worth is -2, want 0 to 1000000"},
 	} {
 		bad := strings.Replace(good, c.from, c.to, 1)
 		if bad == good {
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -8,6 +8,7 @@
 
 // eventFields holds the fields of every event; a pointer tells an absent field from a zero one.
 type eventFields struct {
+	Verb      string             `json:"verb"`
 	Sender    *uint32            `json:"sender_id"`
 	Nonce     *uint64            `json:"nonce64"`
 	Env       json.RawMessage    `json:"env"`
@@ -30,6 +31,12 @@
 	KeyBack   *int64             `json:"key_back"`
 	From      *int64             `json:"sender"`
 	Bytes     *string            `json:"bytes"`
+
+	// named by the wire's page and not read: the module does not go by them
+	Rev   int64 `json:"rev"`
+	Again bool  `json:"again"`
+	Write bool  `json:"write"`
+	Retry bool  `json:"retry"`
 }
 
 // required lists, for each event, the fields that it cannot do without.
@@ -95,6 +102,7 @@
 }
 
 type catalogFields struct {
+	Born        int64   `json:"born_us"` // not read
 	Campus      int     `json:"campus"`
 	Endpoint    *uint32 `json:"endpoint"`
 	Capacity    float64 `json:"capacity_hint"`
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -45,11 +45,15 @@
 	r     *bufio.Reader
 	line  int
 	lists map[int][]rules.Entry
+
+	// Unknown counts the fields of events that the wire's page does not name, as "verb.field". They are skipped:
+	// a newer simulator may send more, and nothing is guessed from them.
+	Unknown map[string]int
 }
 
 // NewDecoder reads from r.
 func NewDecoder(r io.Reader) *Decoder {
-	return &Decoder{r: bufio.NewReaderSize(r, 1<<20), lists: map[int][]rules.Entry{}}
+	return &Decoder{r: bufio.NewReaderSize(r, 1<<20), lists: map[int][]rules.Entry{}, Unknown: map[string]int{}}
 }
 
 func (d *Decoder) errorf(format string, args ...any) error {
@@ -86,6 +90,7 @@
 		return nil, d.errorf("%q outside a batch", verb)
 	}
 	var head struct {
+		Verb   string `json:"verb"`
 		Moment *int64 `json:"moment_us"`
 	}
 	if err := d.decode(verb, text, &head); err != nil {
@@ -116,8 +121,19 @@
 	}
 }
 
+// decode reads one line into its fields. A field that they lack is counted and skipped.
 func (d *Decoder) decode(verb string, text []byte, into any) error {
-	if err := json.Unmarshal(text, into); err != nil {
+	strict := json.NewDecoder(bytes.NewReader(text))
+	strict.DisallowUnknownFields()
+	err := strict.Decode(into)
+	if err == nil {
+		return nil
+	}
+	if field, unknown := strings.CutPrefix(err.Error(), "json: unknown field "); unknown {
+		d.Unknown[verb+"."+strings.Trim(field, `"`)]++
+		err = json.Unmarshal(text, into)
+	}
+	if err != nil {
 		return d.errorf("%s: %v", verb, err)
 	}
 	return nil
@@ -220,6 +236,7 @@
 
 func (d *Decoder) catalog(text []byte) error {
 	var f struct {
+		Verb     string           `json:"verb"`
 		Ref      *int             `json:"ref"`
 		Elements *[]catalogFields `json:"elements"`
 	}
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -155,3 +155,22 @@
 		t.Errorf("got %v, want the end of input", err)
 	}
 }
+
+// A field that the wire's page does not name is skipped and counted, and the event reads as without it.
+func TestUnknownFieldsAreCounted(t *testing.T) {
+	text := "{\"verb\":\"batch\",\"moment_us\":5000}\n" +
+		`{"verb":"vanished","sender_id":3,"txn":"a","colour":"blue"}` + "\n" +
+		`{"verb":"vanished","sender_id":3,"txn":"b","colour":"red"}` + "\n" +
+		`{"verb":"wakeup","sender_id":3,"key_back":0,"again":true}` + "\n{\"verb\":\"flush\"}\n"
+	d := NewDecoder(strings.NewReader(text))
+	b, err := d.Read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b.Items) != 3 || b.Items[1].Event != (rules.Withdrawn{ID: "b"}) {
+		t.Errorf("items %+v", b.Items)
+	}
+	if want := map[string]int{"vanished.colour": 2}; !reflect.DeepEqual(d.Unknown, want) {
+		t.Errorf("unknown %v, want %v", d.Unknown, want)
+	}
+}
