--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,10 +26,11 @@
 	Az        int `json:"az"`
 	Balancers int `json:"balancers"`
 	Extra     struct {
-		Batch  []int  `json:"batch_by_kind"`
-		Late   string `json:"late"`
-		Routes []bool `json:"routes_apart"`
-		Slots  int    `json:"slots"`
+		Batch  []int     `json:"batch_by_kind"`
+		Late   string    `json:"late"`
+		Routes []bool    `json:"routes_apart"`
+		Slots  int       `json:"slots"`
+		Toll   []float64 `json:"toll"`
 	} `json:"extra"`
 	Flavors        []string `json:"flavors"`
 	OverShareWorth float64  `json:"over_share_worth"`
@@ -114,7 +115,7 @@
 		AskRegistry: e.RegistryMode == "ask", AskEvery: micros(e.Safety.AskEvery),
 		RatesListed: e.Weights == "nominal" || e.Weights == "rough", RatesExact: e.Weights == "nominal",
 		LateHalving:    e.Extra.Late == "halving",
-		OverShareWorth: e.OverShareWorth,
+		OverShareWorth: e.OverShareWorth, ZoneTolls: e.Extra.Toll,
 	}
 	for i := range max(len(e.Flavors), len(e.Extra.Batch), len(e.Extra.Routes)) {
 		var k rules.Kind
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -100,3 +100,11 @@
 		}
 	}
 }
+
+// A route's toll comes by zone.
+func TestTolls(t *testing.T) {
+	s, _, err := Decode([]byte(strings.Replace(example(t), `"slots": 10`, `"slots": 10, "toll": [0.06, 0]`, 1)), 1)
+	if err != nil || len(s.ZoneTolls) != 2 || s.ZoneTolls[0] != 0.06 || s.ZoneTolls[1] != 0 {
+		t.Errorf("tolls %v, %v", s.ZoneTolls, err)
+	}
+}
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -105,7 +105,7 @@
 		MaxAttempts: 12, ConnectTimeout: s, KeepAlive: 10 * s, MaxRetryAfter: 3 * s, MayAdvise: true, MayCancel: true, MayTell: true,
 		AnswerGrace: 20 * time.Millisecond, DrainGrace: s / 2, ColdShare: 0.17,
 		WarmUp: 9800 * time.Millisecond, FallWindow: 2 * s, OverloadFactor: 2, OrderPause: 700 * time.Millisecond,
-		AskRegistry: true, AskEvery: 10 * s, RatesListed: true, LateHalving: true, OverShareWorth: 0.1,
+		AskRegistry: true, AskEvery: 10 * s, RatesListed: true, LateHalving: true, OverShareWorth: 0.1, ZoneTolls: []float64{0.5},
 		Kinds: []rules.Kind{{Batch: 5}, {Batch: 1, RoutesApart: true}},
 		Classes: []rules.Class{{Effect: rules.Keyed, Scope: rules.ScopeZone, Window: 5 * s, Aim: 2500 * time.Millisecond,
 			Deadline: 16 * s, Worth: 2, LateWorth: 0.4, KeepOrder: true}},
--- a/rules/api.go
+++ b/rules/api.go
@@ -89,6 +89,7 @@
 	RatesExact     bool // and are true, not up to half too high or low
 	LateHalving    bool // late worth halves with each further aim, else it falls evenly
 	OverShareWorth float64
+	ZoneTolls      []float64 // by zone: points off the result for each message that a route apart there takes on
 
 	Kinds   []Kind
 	Classes []Class
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -58,6 +58,7 @@
 	maxHorizon  = 3 * time.Second         // and at most: later losses count little; 10 s is worse in backlogs
 	baseUrgency = 0.05                    // weight of a message's whole worth; 0.3 loses on even falls
 	handshake   = 100 * time.Millisecond  // latency that a connection likely open saves; 250 ms is even
+	tollTime    = 20.0                    // seconds of latency that a route's toll of 1 outweighs
 
 	provenOpen = 60 // answers since a connect was turned away, after which connections stay open there again
 	startOpen  = 5  // the same where none was turned away yet: holders never are, and 15 cost handshakes
@@ -116,9 +117,8 @@
 	}
 }
 
-// lapse unbinds a pace that has seen no refusal for long, as of the last step's time when it is next looked
-// at, the same as looking at all each step. Not while messages wait for it: the backlog would leave in one
-// burst; a limit that has grown far is then found by climbing only.
+// lapse unbinds a pace that has seen no refusal for long, as of the last step's time when next looked at. Not
+// while messages wait for it: the backlog would leave in one burst; a limit grown far is found by climbing.
 func (p *pace) lapse(now time.Duration) {
 	if p.rate > 0 && now-max(p.lastRefusal, p.haltUntil, p.lastWaited) >= paceLapse {
 		p.rate, p.next = 0, 0
@@ -483,8 +483,7 @@
 }
 
 // failed takes a failure. In a crowd a pause follows that grows with each more; several start probation.
-// Guards against any outage that ends in a cold return, and against a crowd of senders each trying just once
-// more as it does; a chance run of errors costs one ramp.
+// Guards against any outage with a cold return, and a crowd each trying once more; a chance run costs a ramp.
 func (s *Sender) failed(ep *endpoint, sent time.Duration, why Outcome) {
 	if why == TimedOut && ep.lastAnswer > sent {
 		return // one call lost where others are answered
@@ -502,8 +501,8 @@
 }
 
 // turnedAway takes the word that an endpoint holds all the connections it can, which is no failure: it serves
-// who has one, and with each call a place comes free. Guards against a crowd that knocks all the time; may be
-// late for a place. A call's time is the unit, doubled with each knock.
+// who has one, and each call frees a place. Guards against a crowd that knocks all the time; may be late for
+// a place. A call's time is the unit, doubled with each knock.
 func (s *Sender) turnedAway(ep *endpoint) {
 	s.proven[ep.kind] = startOpen - provenOpen
 	ep.knocks = min(ep.knocks+1, failStreak)
@@ -799,7 +798,7 @@
 	return plan{}
 }
 
-// price orders endpoints: likely time to the answer.
+// price orders endpoints: likely time to the answer, and a route's toll as time.
 func (s *Sender) price(ep *endpoint) float64 {
 	t := ep.usually() * (1 + float64(len(ep.calls))/2)
 	if s.set.Senders > crowd {
@@ -808,6 +807,9 @@
 	if s.now-ep.lastUse > s.set.KeepAlive || len(ep.calls) >= ep.peak {
 		t += handshake.Seconds()
 	}
+	if s.kind(ep).RoutesApart && ep.zone < len(s.set.ZoneTolls) {
+		t += tollTime * s.set.ZoneTolls[ep.zone]
+	}
 	return t
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1580,3 +1580,19 @@
 		}
 	}
 }
+
+// Of two routes apart that are alike, the one whose zone takes no toll gets the message.
+func TestATollSteersToTheOtherRoute(t *testing.T) {
+	for _, tolls := range [][]float64{{0.06, 0}, {0, 0.06}} {
+		b := newBench(t, func(s *Settings) { s.ZoneTolls = tolls }, Entry{Endpoint: 11, Destination: 1, Kind: 1, Zone: 0},
+			Entry{Endpoint: 12, Destination: 1, Kind: 1, Zone: 1})
+		_, out := b.take(safe)
+		want := EndpointID(12)
+		if tolls[0] == 0 {
+			want = 11
+		}
+		if got := sends(out); len(got) != 1 || got[0].Endpoint != want {
+			t.Errorf("tolls %v: sent %v, want to %d", tolls, got, want)
+		}
+	}
+}
