A crowd's call that may not be repeated gives up its slot like others; lost answers

The four slots of each sender were held by calls without an answer: freeSlot gave up overdue calls after two late-answer times, but in a crowd what may not be repeated (payment, at most once) after five, as a sparse sender was thought not to know what is late. 44 senders of several calls a second know their times; a quarter of the messages are payments.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -900,20 +900,14 @@
 
 // freeSlot gives up the call that has been out longest, if it is overdue. Guards against calls that are never
 // answered filling every slot, each of which could carry ten others meanwhile; where answers are merely slow,
-// it may give up one that was to come. In a crowd, which hardly knows what is late, what may not be repeated
-// gets longer.
+// it may give up one that was to come.
 func (s *Sender) freeSlot() {
 	var oldest *call
 	for _, c := range s.calls {
 		if c.cancelled {
 			return // its slot is on the way
 		}
-		class, allowed := c.attempts[0].msg.class, haste*s.lateAfter(c.ep, c.class())
-		mayRepeat := class.Effect == Safe || class.Effect == Keyed && s.now-c.sent < class.Window/2
-		if !mayRepeat && s.set.Senders > crowd {
-			allowed = patience * s.lateAfter(c.ep, c.class())
-		}
-		if s.now-c.sent > allowed && (oldest == nil || c.sent < oldest.sent) {
+		if s.now-c.sent > haste*s.lateAfter(c.ep, c.class()) && (oldest == nil || c.sent < oldest.sent) {
 			oldest = c
 		}
 	}
