--- a/internal/exchange/counts.go
+++ b/internal/exchange/counts.go
@@ -15,7 +15,7 @@
 	In, Unknown, Duplicate, Refused, Failed, Taken, Recovered int
 	Delivered, Bounced, Dead, Withdrawn, Elsewhere            int
 	Held, Out                                                 int
-	Calls, Attempts                                           int
+	Calls, Recalled, Attempts                                 int
 	Outcomes                                                  [rules.NotSent + 1]int
 	Noticed, Unrecorded                                       int
 }
@@ -59,7 +59,7 @@
 		slog.Int("refused", c.Refused), slog.Int("failed", c.Failed), slog.Int("taken", c.Taken), slog.Int("recovered", c.Recovered),
 		slog.Int("delivered", c.Delivered), slog.Int("bounced", c.Bounced), slog.Int("dead", c.Dead),
 		slog.Int("withdrawn", c.Withdrawn), slog.Int("elsewhere", c.Elsewhere), slog.Int("held", c.Held),
-		slog.Int("calls", c.Calls), slog.Int("attempts", c.Attempts), slog.Int("out", c.Out),
+		slog.Int("calls", c.Calls), slog.Int("recalled", c.Recalled), slog.Int("attempts", c.Attempts), slog.Int("out", c.Out),
 	}
 	for i, name := range outcomeNames {
 		list = append(list, slog.Int(name, c.Outcomes[i]))
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -55,14 +55,18 @@
 	Wait    time.Duration
 	NoSlot  bool
 	NoPlace bool // with ConnectError: the endpoint is there, and says that it holds all the connections it can
+	Back    bool // with NotSent: called back
 	Over    bool // the endpoint says that the message is over: nothing more is owed
 	Report  rules.Report
 }
 
-// Handle lets a call be given up. Its result is still handed in.
+// Handle lets a call be ended from this side.
 type Handle interface {
+	// Cancel gives the call up, wherever it is. Its result is still handed in.
 	Cancel()
-	Recall() // only if nothing of it has been written: it then ends as not sent, else it goes on
+	// Recall calls the call back unless its last byte is written or being written. True: it has not reached the endpoint
+	// and never will, and no result is to come. False: it goes on.
+	Recall() bool
 }
 
 // Caller is the endpoint side. None of its methods may wait.
@@ -238,19 +242,13 @@
 // List hands in what the registry told.
 func (x *Exchange) List(l Listing) { x.post(func() { x.listed(l) }) }
 
-// listed takes in a list. Idle connections to endpoints that it has lost are closed. Calls that still wait for a
-// connection to one that is to get nothing new are called back: connecting may take longer than a drain's grace.
+// listed takes in a list. Idle connections to endpoints that it has lost are closed.
 func (x *Exchange) listed(l Listing) {
 	e, left := x.dir.update(l)
 	x.events = append(x.events, e)
 	for _, p := range left {
 		x.cfg.Caller.CloseIdle(p)
 	}
-	for _, f := range x.flights {
-		if h := x.dir.hosts[f.ep]; h.Draining || h.Gone {
-			f.handle.Recall()
-		}
-	}
 }
 
 // ListFailed tells that the registry could not be heard.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -23,6 +23,7 @@
 	recalled  chan *Call
 	closed    chan Peer
 	onStart   func(*Call)
+	onRecall  func(*Call) bool
 }
 
 type handle struct {
@@ -31,7 +32,12 @@
 }
 
 func (h handle) Cancel() { h.side.cancelled <- h.c }
-func (h handle) Recall() { h.side.recalled <- h.c }
+
+// Recall calls back what onRecall allows, all if there is none.
+func (h handle) Recall() bool {
+	h.side.recalled <- h.c
+	return h.side.onRecall == nil || h.side.onRecall(h.c)
+}
 
 func (e *endpoints) Start(c *Call) Handle {
 	if e.onStart != nil {
@@ -516,13 +522,55 @@
 		if got := testkit.Next(t, w.ends.recalled, "call back"); got != c {
 			t.Errorf("%s: called back %+v, want %+v", name, got, c)
 		}
-		w.finish(c, rules.NotSent)
 		if got := testkit.Next(t, w.ends.started, "call"); got.To != other.Peer {
 			t.Errorf("%s: went on to %+v", name, got.To)
 		}
 	}
 }
 
+// A call that waits for its connection when a wait is told is called back, with all its messages, and costs no attempt. It
+// goes out after the wait. What is written already goes on, and what is bound for another destination.
+func TestToldWaitCallsBackWhatIsNotWritten(t *testing.T) {
+	w := begin(t, func(s *rules.Settings) { s.MaxAttempts = 2 })
+	written := "b"
+	w.ends.onRecall = func(c *Call) bool { return c.Items[0].ID != written }
+	calls := map[string]*Call{}
+	for i, id := range []string{"a", "b", "c", "other"} {
+		w.take(msg(id, "stock", 1+i/3))
+		calls[id] = testkit.Next(t, w.ends.started, "call")
+	}
+	told := time.Now()
+	w.Finish(calls["a"], Result{Written: true, Items: []ItemResult{{Outcome: rules.Full, Wait: 200 * time.Millisecond}}})
+	for _, want := range []string{"b", "c"} {
+		if got := testkit.Next(t, w.ends.recalled, "call back"); got != calls[want] {
+			t.Errorf("called back %s, want %s", got.Items[0].ID, want)
+		}
+	}
+	got := w.settled("called back", func(c Counts) bool { return c.Recalled == 1 })
+	if got.Outcomes[rules.NotSent] != 1 || got.Out != 2 {
+		t.Errorf("counters: %+v", got)
+	}
+	w.finish(calls["b"], rules.OK)
+	w.finish(calls["c"], rules.OK) // a result of what was called back means nothing
+	w.finish(calls["other"], rules.OK)
+	sent := map[string]bool{}
+	for range 2 {
+		c := testkit.Next(t, w.ends.started, "call after the wait")
+		sent[c.Items[0].ID] = true
+		if d := time.Since(told); d < 200*time.Millisecond {
+			t.Errorf("%s went out %v after a wait of 200 ms was told", c.Items[0].ID, d)
+		}
+		w.finish(c, rules.OK)
+	}
+	if !sent["a"] || !sent["c"] {
+		t.Errorf("sent after the wait: %v", sent)
+	}
+	w.addUp(w.settled("delivered", func(c Counts) bool { return c.Delivered == 4 }))
+	if n := len(w.ends.recalled); n != 0 {
+		t.Errorf("%d further calls called back", n)
+	}
+}
+
 // A told wait halts the destination whatever outcome brought it.
 func TestWaitWithAnyOutcome(t *testing.T) {
 	w := begin(t, nil)
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -98,6 +98,8 @@
 			x.fail(x.held[string(a.ID)])
 		case rules.Cancel:
 			x.cancel(string(a.ID), a.Attempt)
+		case rules.Recall:
+			x.recall(string(a.ID), a.Attempt)
 		case rules.CloseIdle:
 			x.cfg.Caller.CloseIdle(x.dir.hosts[a.Endpoint].Peer)
 		case rules.Forgot:
@@ -273,6 +275,27 @@
 	}
 }
 
+// recall calls a call back, with all its messages, if the endpoint side still can. Its slot is free at once.
+func (x *Exchange) recall(id string, num int) {
+	i := slices.IndexFunc(x.flights, func(f *flight) bool {
+		return slices.ContainsFunc(f.items, func(it item) bool { return it.msg.ID == id && it.num == num && !it.told })
+	})
+	if i < 0 || !x.flights[i].handle.Recall() {
+		return
+	}
+	f := x.flights[i]
+	x.flights = slices.Delete(x.flights, i, i+1)
+	x.counts.Recalled++
+	if h := x.dir.hosts[f.ep]; h.Draining || h.Gone {
+		x.cfg.Caller.CloseIdle(f.call.To) // the connection on its way would find no use
+	}
+	for i := range f.items {
+		if !f.items[i].told {
+			x.ended(f, i, ItemResult{Outcome: rules.NotSent, Back: true})
+		}
+	}
+}
+
 // giveUp ends the wait for one attempt. The connection is closed with the last of a call, whose result then
 // tells whether it was written; until then the others' answers may still come, and this one counts as written.
 func (x *Exchange) giveUp(f *flight, i int, why rules.Outcome) {
@@ -336,7 +359,7 @@
 		x.record(x.cfg.Ledger.Outcome(it.msg.ID, it.num, r.Outcome.MayRun(), failed(r)))
 	}
 	x.events = append(x.events, rules.Ended{ID: rules.MessageID(it.msg.ID), Attempt: it.num, Endpoint: f.ep,
-		Outcome: r.Outcome, Elapsed: x.now() - f.sent, Over: over, Wait: r.Wait, NoSlot: r.NoSlot, NoPlace: r.NoPlace, Report: r.Report})
+		Outcome: r.Outcome, Elapsed: x.now() - f.sent, Over: over, Wait: r.Wait, NoSlot: r.NoSlot, NoPlace: r.NoPlace, Recalled: r.Back, Report: r.Report})
 }
 
 // failed tells whether a result speaks of an endpoint in trouble rather than of a limit or a full table.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -29,7 +29,7 @@
 func (void) Start(*exchange.Call) exchange.Handle { return void{} }
 func (void) CloseIdle(exchange.Peer)              {}
 func (void) Cancel()                              {}
-func (void) Recall()                              {}
+func (void) Recall() bool                         { return false }
 func (void) Tell(ledger.Notice)                   {}
 func (void) Watch()                               {}
 
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -31,20 +31,23 @@
 
 // Pool makes calls.
 type Pool struct {
-	cfg  Config
-	mu   sync.Mutex
-	idle map[exchange.Peer][]*conn // the last used last
-	open int                       // connections and attempts at one
-	shut bool
-	wg   sync.WaitGroup
+	cfg   Config
+	mu    sync.Mutex
+	idle  map[exchange.Peer][]*conn // the last used last
+	dials map[*job]bool             // calls whose connections are being opened
+	open  int                       // connections and attempts at one
+	shut  bool
+	wg    sync.WaitGroup
 
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	moment time.Duration // before the last byte of a call, at least
 	reset  atomic.Int64  // when a connection was last reset under a call, in Unix milliseconds
 }
 
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg, idle: map[exchange.Peer][]*conn{}, moment: leastMoment}
+	return &Pool{cfg: cfg, idle: map[exchange.Peer][]*conn{}, dials: map[*job]bool{},
+		dial: (&net.Dialer{KeepAlive: -1}).DialContext, moment: leastMoment}
 }
 
 // conn is one connection. Its goroutine reads while it is idle, so that it sees the other side close it; a call is
@@ -55,7 +58,8 @@
 	buf    []byte
 	trip   time.Duration // how long it took to open
 	moment time.Duration // before the last byte of a call, at least
-	since  time.Time     // idle since; zero until its first call is over
+	since  time.Time     // idle since
+	served bool          // a call has been written to it
 	next   *job          // guarded by the pool's lock
 }
 
@@ -64,7 +68,8 @@
 	call   *exchange.Call
 	mu     sync.Mutex
 	given  bool // up
-	back   bool // called back before anything of it was written
+	back   bool // called back before its last byte
+	out    bool // its last byte is written, or is being written
 	nc     net.Conn
 	undial context.CancelFunc
 }
@@ -96,20 +101,22 @@
 	}
 }
 
-// Recall gives the call up unless it has a connection, over which some of it may have gone.
-func (j *job) Recall() {
+// Recall calls the call back unless it may have reached the endpoint whole. A connection that is on its way for it still
+// comes up, for the next one.
+func (j *job) Recall() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.nc != nil || j.given {
-		return
+	if j.out || j.given {
+		return false
 	}
 	j.back = true
-	if j.undial != nil {
-		j.undial()
+	if j.nc != nil {
+		j.nc.SetReadDeadline(longAgo) // it may be about to write its last byte
 	}
+	return true
 }
 
-// attach lets Cancel reach the connection; it is false if the call has been given up or called back before.
+// attach lets Cancel and Recall reach the connection; it is false if the call has been given up or called back before.
 func (j *job) attach(nc net.Conn, undial context.CancelFunc) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -117,11 +124,20 @@
 	return !j.given && !j.back
 }
 
+// commit is the point of no return, right before the last byte is written; it is false if the call has been given up or
+// called back before.
+func (j *job) commit() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.out = !j.given && !j.back
+	return j.out
+}
+
 // limit ends the reading of an answer after this time, 0 for never, unless the call has been given up.
 func (j *job) limit(after time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.given || j.nc == nil {
+	if j.given || j.back || j.nc == nil {
 		return
 	}
 	var at time.Time
@@ -191,10 +207,24 @@
 	}
 }
 
-// CloseIdle closes the idle connections to a peer.
+// abandon ends the opening of a connection whose call was called back.
+func (j *job) abandon() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.back && j.undial != nil {
+		j.undial()
+	}
+}
+
+// CloseIdle closes the idle connections to a peer, and does not wait for those that are opened for no call any more.
 func (p *Pool) CloseIdle(to exchange.Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for j := range p.dials {
+		if j.call.To == to {
+			j.abandon()
+		}
+	}
 	for c := p.pop(to); c != nil; c = p.pop(to) {
 		c.nc.SetReadDeadline(longAgo)
 	}
@@ -204,6 +234,9 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.shut = true
+	for j := range p.dials {
+		j.abandon()
+	}
 	for _, list := range p.idle {
 		for _, c := range list {
 			c.nc.SetReadDeadline(longAgo)
@@ -246,10 +279,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.ConnectTimeout)
 	defer cancel()
 	if !j.attach(nil, cancel) {
-		cancel()
+		p.finish(j, rules.ConnectError)
+		return nil
 	}
-	d, begun := net.Dialer{KeepAlive: -1}, time.Now()
-	nc, err := d.DialContext(ctx, "tcp", j.call.To.Dial)
+	p.dialling(j, true)
+	begun := time.Now()
+	nc, err := p.dial(ctx, "tcp", j.call.To.Dial)
+	p.dialling(j, false)
 	if err != nil {
 		p.finish(j, rules.ConnectError)
 		return nil
@@ -257,16 +293,27 @@
 	return &conn{nc: nc, br: bufio.NewReaderSize(nc, 2048), trip: time.Since(begun), moment: p.moment}
 }
 
-// finish ends a call of which nothing reached the endpoint.
+func (p *Pool) dialling(j *job, now bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now {
+		p.dials[j] = true
+	} else {
+		delete(p.dials, j)
+	}
+}
+
+// finish ends a call that did not reach the endpoint. Of one called back no result is to come.
 func (p *Pool) finish(j *job, o rules.Outcome) {
 	j.mu.Lock()
-	switch {
-	case j.given:
+	given, back := j.given, j.back
+	j.mu.Unlock()
+	if back {
+		return
+	}
+	if given {
 		o = rules.Cancelled
-	case j.back:
-		o = rules.NotSent
 	}
-	j.mu.Unlock()
 	p.cfg.Finish(j.call, exchange.Result{Items: same(j.call, exchange.ItemResult{Outcome: o})})
 }
 
@@ -303,6 +350,9 @@
 func (c *conn) write(j *job, wary bool) bool {
 	last := len(c.buf) - 1
 	if !wary {
+		if !j.commit() {
+			return false
+		}
 		_, err := c.nc.Write(c.buf)
 		return err == nil
 	}
@@ -311,10 +361,13 @@
 	}
 	j.limit(max(c.moment, min(c.trip, mostMoment)))
 	_, err := c.br.Peek(1)
-	if early := err == nil && c.since.IsZero(); !early && !errors.Is(err, os.ErrDeadlineExceeded) || j.givenUp() {
-		return false // broken, given up, or with bytes of what came before; an early answer on a new one is this call's
+	if early := err == nil && !c.served; !early && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false // broken, or with bytes of what came before; an early answer on a new one is this call's
 	}
 	j.limit(0)
+	if !j.commit() {
+		return false
+	}
 	_, err = c.nc.Write(c.buf[last:])
 	return err == nil
 }
@@ -349,6 +402,8 @@
 		p.finish(j, rules.ConnectError)
 		return false
 	}
+	fresh := !c.served
+	c.served = true
 	resp, err := c.answer(j)
 	j.attach(nil, nil)
 	if resp == nil && errors.Is(err, syscall.ECONNRESET) {
@@ -358,7 +413,7 @@
 	if j.givenUp() {
 		lost = rules.Cancelled
 	}
-	p.cfg.Finish(j.call, exchange.Result{Written: true, Items: outcomes(j.call, resp, err, lost, c.since.IsZero())})
+	p.cfg.Finish(j.call, exchange.Result{Written: true, Items: outcomes(j.call, resp, err, lost, fresh)})
 	if cap(c.buf) > maxKept {
 		c.buf = nil
 	}
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -682,45 +683,170 @@
 	}
 }
 
-// A call given up or called back before it was written never ran, and leaves its connection usable. One called back
-// after it was written goes on.
+// A call given up before it was written never ran, and leaves its connection usable.
 func TestGivenUpBeforeTheCall(t *testing.T) {
 	ep, err := platform.NewEndpoint("127.0.0.1:0", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ep.Close()
-	for _, c := range []struct {
-		give func(*job)
-		want rules.Outcome
-	}{{(*job).Cancel, rules.Cancelled}, {(*job).Recall, rules.NotSent}} {
-		s := newSide(t, nil)
-		nc, err := net.Dial("tcp", ep.Addr())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer nc.Close()
-		connected, dialling := &job{call: callTo(ep.Addr(), "a")}, &job{call: callTo(ep.Addr(), "a")}
-		c.give(connected)
-		if !s.do(&conn{nc: nc}, connected) {
-			t.Error("the connection is given up")
-		}
-		c.give(dialling)
-		if c := s.connect(dialling); c != nil {
-			t.Error("a connection for a call given up")
+	s := newSide(t, nil)
+	nc, err := net.Dial("tcp", ep.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	connected, dialling := &job{call: callTo(ep.Addr(), "a")}, &job{call: callTo(ep.Addr(), "a")}
+	connected.Cancel()
+	if !s.do(&conn{nc: nc}, connected) {
+		t.Error("the connection is given up")
+	}
+	dialling.Cancel()
+	if c := s.connect(dialling); c != nil {
+		t.Error("a connection for a call given up")
+	}
+	for range 2 {
+		if d := testkit.Next(t, s.done, "result"); d.Written || d.Items[0].Outcome != rules.Cancelled {
+			t.Errorf("got %+v", d.Result)
 		}
-		for range 2 {
-			if d := testkit.Next(t, s.done, "result"); d.Written || d.Items[0].Outcome != c.want {
-				t.Errorf("got %+v, want %v", d.Result, c.want)
+	}
+	if n := len(ep.Received()); n != 0 {
+		t.Errorf("%d calls arrived", n)
+	}
+}
+
+// slowDials lets the test say when each connect may come up. Its error, if any, is the connect's.
+func slowDials(s *side) (begun chan struct{}, up chan error) {
+	begun, up = make(chan struct{}, 10), make(chan error, 10)
+	dial := s.dial
+	s.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		begun <- struct{}{}
+		select {
+		case err := <-up:
+			if err != nil {
+				return nil, err
 			}
+			return dial(ctx, network, address)
+		case <-ctx.Done():
+			return nil, ctx.Err()
 		}
-		if n := len(ep.Received()); n != 0 {
-			t.Errorf("%d calls arrived", n)
-		}
-		under := &job{call: callTo(ep.Addr(), "a"), nc: nc}
-		if under.Recall(); !under.attach(nc, nil) {
-			t.Error("a call that may be under way was called back")
-		}
+	}
+	return begun, up
+}
+
+// A call called back while its connection is opened never reaches the endpoint, and has no result. The connection comes up
+// for the next call. One whose connect fails is called back all the same.
+func TestCalledBackWhileConnecting(t *testing.T) {
+	ep, err := platform.NewEndpoint("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ep.Close()
+	s := newSide(t, nil)
+	begun, up := slowDials(s)
+	h := s.Start(callTo(ep.Addr(), "a"))
+	testkit.Next(t, begun, "connect")
+	if !h.Recall() || !h.Recall() {
+		t.Fatal("a call whose connection is not up cannot be called back")
+	}
+	up <- nil
+	testkit.Eventually(t, "idle", func() bool { return s.idleAt(ep.Addr()) == 1 })
+	s.Start(callTo(ep.Addr(), "b"))
+	if d := testkit.Next(t, s.done, "result"); d.call.Items[0].ID != "b" || d.Items[0].Outcome != rules.OK {
+		t.Errorf("got %+v", d)
+	}
+	if got := fmt.Sprint(ep.Received()); got != "[b]" {
+		t.Errorf("received %s", got)
+	}
+	h = s.Start(&exchange.Call{To: exchange.Peer{Name: "other", Dial: ep.Addr()}, Items: callTo("", "c").Items})
+	testkit.Next(t, begun, "connect")
+	h.Recall()
+	up <- io.ErrUnexpectedEOF
+	testkit.Eventually(t, "over", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.open == 1 })
+	if len(s.done) != 0 {
+		t.Errorf("a result of a call called back: %+v", <-s.done)
+	}
+}
+
+// A connection that is opened for no call any more is not waited for once idle ones are to be closed, nor at the end.
+func TestNobodyWaitsForACalledBackConnection(t *testing.T) {
+	for name, end := range map[string]func(*side){
+		"idle ones closed": func(s *side) { s.CloseIdle(peer("127.0.0.1:1")) },
+		"the end":          func(s *side) { s.Close() },
+	} {
+		s := newSide(t, nil)
+		begun, _ := slowDials(s)
+		h := s.Start(callTo("127.0.0.1:1", "a"))
+		testkit.Next(t, begun, "connect")
+		h.Recall()
+		end(s)
+		testkit.Eventually(t, name, func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.open == 0 })
+	}
+}
+
+// A call handed to an idle connection that turns out dead may be called back until its last byte is written on a fresh one.
+func TestCalledBackBetweenConnections(t *testing.T) {
+	ep, err := platform.NewEndpoint("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ep.Close()
+	s := newSide(t, nil)
+	begun, up := slowDials(s)
+	up <- nil
+	s.outcome(ep.Addr())
+	testkit.Next(t, begun, "connect")
+	testkit.Eventually(t, "idle", func() bool { return s.idleAt(ep.Addr()) == 1 })
+	s.mu.Lock()
+	s.idle[peer(ep.Addr())][0].since = time.Now().Add(-time.Hour) // too old to be used
+	s.mu.Unlock()
+	h := s.Start(callTo(ep.Addr(), "b"))
+	testkit.Next(t, begun, "second connect")
+	if !h.Recall() {
+		t.Error("not called back")
+	}
+	up <- nil
+	testkit.Eventually(t, "idle", func() bool { return s.idleAt(ep.Addr()) == 1 })
+	if got := fmt.Sprint(ep.Received()); got != "[a]" {
+		t.Errorf("received %s", got)
+	}
+}
+
+// Before its last byte is written a call can be called back, which costs the connection; from then on it cannot.
+func TestCalledBackBeforeTheLastByte(t *testing.T) {
+	got, release := make(chan string, 10), make(chan struct{})
+	once := sync.OnceFunc(func() { close(release) })
+	srv := listen(t, func(_ *http1.Request, body []byte) *http1.Response {
+		got <- string(body)
+		<-release
+		return &http1.Response{Status: 200}
+	})
+	s := newSide(t, nil)
+	t.Cleanup(once)
+	s.moment = time.Hour
+	s.reset.Store(time.Now().UnixMilli())
+	begun, up := slowDials(s)
+	up <- nil
+	h := s.Start(callTo(srv.Addr(), "a"))
+	testkit.Next(t, begun, "connect")
+	j := h.(*job)
+	testkit.Eventually(t, "connected", func() bool { j.mu.Lock(); defer j.mu.Unlock(); return j.nc != nil })
+	if !h.Recall() {
+		t.Error("not called back before its last byte")
+	}
+	testkit.Eventually(t, "closed", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.open == 0 })
+	s.reset.Store(0)
+	up <- nil
+	h = s.Start(callTo(srv.Addr(), "b"))
+	if body := testkit.Next(t, got, "call"); !strings.Contains(body, "body of b") {
+		t.Errorf("got %q", body)
+	}
+	if h.Recall() {
+		t.Error("called back after its last byte")
+	}
+	once()
+	if d := testkit.Next(t, s.done, "result"); d.call.Items[0].ID != "b" || d.Items[0].Outcome != rules.OK {
+		t.Errorf("got %+v", d)
 	}
 }
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -287,10 +287,12 @@
 	return &Encoder{w: bw, enc: enc}
 }
 
-// Write adds the actions of one instance to the reply. That an endpoint is forgotten concerns nobody on the wire.
+// Write adds the actions of one instance to the reply. That an endpoint is forgotten concerns nobody on the wire, and a
+// call is on its way there as soon as it is made, so that none can be called back.
 func (e *Encoder) Write(instance int, actions []rules.Action) error {
 	for _, a := range actions {
-		if _, none := a.(rules.Forgot); none {
+		switch a.(type) {
+		case rules.Forgot, rules.Recall:
 			continue
 		}
 		out, err := encode(instance, a)
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -39,7 +39,9 @@
 	Wait    time.Duration
 	NoPlace bool // with a failed connect: the endpoint holds all the connections it can
 	Report  rules.Report
-	Silent  bool // it was served, and no answer will come
+
+	Recalled bool // with not sent: by the sender
+	Silent   bool // it was served, and no answer will come
 }
 
 // End is how a message ended at a sender.
--- a/lab/sender/sender.go
+++ b/lab/sender/sender.go
@@ -92,6 +92,7 @@
 type holding struct {
 	m        *model.Message
 	attempts int
+	recalled int // of them
 	out      []*flight
 	over     bool
 	ran      time.Duration // send time of the earliest attempt that may have run
@@ -249,6 +250,8 @@
 			h.end(a.ID, model.Failed, 0)
 		case rules.Cancel:
 			h.cancel(a)
+		case rules.Recall:
+			h.recall(a)
 		case rules.CloseIdle:
 			if p := h.calls[a.Endpoint]; p != nil {
 				p.CloseIdle()
@@ -316,7 +319,7 @@
 	}
 	k.attempts++
 	f := &flight{h: k, num: num}
-	if k.attempts > h.Settings.MaxAttempts || now >= k.m.Deadline {
+	if k.attempts-k.recalled > h.Settings.MaxAttempts || now >= k.m.Deadline {
 		h.notSent(f, ep.ID, false)
 		return fresh
 	}
@@ -415,6 +418,22 @@
 	}
 }
 
+// recall ends a call whose connection is still being opened.
+func (h *Host) recall(a rules.Recall) {
+	f := h.flights[flightKey{a.ID, a.Attempt}]
+	if f == nil || f.call.conn != nil {
+		return
+	}
+	c := f.call
+	c.Gone = true
+	for _, f := range c.flights {
+		if !f.done {
+			f.h.recalled++
+			h.finish(f, model.Outcome{What: rules.NotSent, Recalled: true})
+		}
+	}
+}
+
 // launch opens a connection, if none is idle, and puts the call on its way.
 func (h *Host) launch(c *call) {
 	now, ep := h.w.Queue.Now(), c.pool.ep
@@ -491,7 +510,7 @@
 		delete(h.live, c)
 	}
 	f.h.out = slices.DeleteFunc(f.h.out, func(x *flight) bool { return x == f })
-	h.report(f, c.pool.ep.ID, rules.Ended{Outcome: o.What, Elapsed: h.w.Queue.Now() - c.Sent, Wait: o.Wait, NoPlace: o.NoPlace, Report: o.Report})
+	h.report(f, c.pool.ep.ID, rules.Ended{Outcome: o.What, Elapsed: h.w.Queue.Now() - c.Sent, Wait: o.Wait, NoPlace: o.NoPlace, Recalled: o.Recalled, Report: o.Report})
 }
 
 func (h *Host) report(f *flight, ep rules.EndpointID, e rules.Ended) {
--- a/rules/api.go
+++ b/rules/api.go
@@ -169,6 +169,7 @@
 	Over     bool          // the message has its final answer, by this outcome or before it
 	Wait     time.Duration // with Full: stay away this long
 	NoSlot   bool          // with NotSent: every slot was taken
+	Recalled bool          // with NotSent: by a Recall; it is no attempt
 	NoPlace  bool          // with ConnectError: the endpoint is there, and says that it holds all the connections it can
 	Report   Report
 }
@@ -239,6 +240,13 @@
 	Attempt int
 }
 
+// Recall calls an attempt back if it cannot have reached its endpoint whole yet: it then ends as NotSent, Recalled, at
+// once. Else it goes on.
+type Recall struct {
+	ID      MessageID
+	Attempt int
+}
+
 // CloseIdle closes this sender's idle connections to an endpoint.
 type CloseIdle struct{ Endpoint EndpointID }
 
@@ -260,6 +268,7 @@
 func (Refuse) action()    {}
 func (Fail) action()      {}
 func (Cancel) action()    {}
+func (Recall) action()    {}
 func (CloseIdle) action() {}
 func (Forgot) action()    {}
 func (WakeAfter) action() {}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -148,6 +148,7 @@
 		s.watchAt = never
 		s.act(Watch{})
 	}
+	s.callBack()
 	s.endDue()
 	s.findSilence()
 	s.dispatch()
@@ -244,13 +245,22 @@
 
 // maySend is the guard that every send passes; it holds the rules, whatever the plan says.
 func (s *Sender) maySend(m *message, ep *endpoint) bool {
-	if s.now < m.notBefore || m.over || m.streamed || len(m.out) > 0 || s.now >= s.due(m) || s.spent(m) {
-		return false
-	}
-	if !ep.listed || ep.dest != m.dest || s.now < ep.lane.pace.haltUntil {
-		return false
+	mayNow := s.now >= m.notBefore && !m.ended() && len(m.out) == 0 && s.now < s.due(m) && !s.spent(m)
+	mayHere := !s.closed(ep) && ep.dest == m.dest && (m.class.Effect != Keyed || s.keyHolds(m, ep))
+	return mayNow && mayHere && (m.order == nil || s.hasTurn(m))
+}
+
+// closed tells whether nothing may reach an endpoint: it drains, is gone, or its lane was told to wait.
+func (s *Sender) closed(ep *endpoint) bool { return !ep.listed || s.now < ep.lane.pace.haltUntil }
+
+// callBack holds that for calls decided before, as far as they are not written yet: a connection may come up
+// later than the slack of a drain or a wait. Costs those that come up for nothing.
+func (s *Sender) callBack() {
+	for _, c := range s.calls {
+		if s.closed(c.ep) {
+			s.recallCall(c)
+		}
 	}
-	return (m.class.Effect != Keyed || s.keyHolds(m, ep)) && (m.order == nil || s.hasTurn(m))
 }
 
 // keyHolds tells whether a keyed message may go to ep: inside window and scope of what may have run.
@@ -773,9 +783,6 @@
 
 // planFor finds a destination's best call now: the cheapest endpoint that is ready, and what gains most.
 func (s *Sender) planFor(d *destination) plan {
-	if len(d.msgs) == 0 {
-		return plan{}
-	}
 	var ready []*endpoint
 	for _, ep := range d.endpoints {
 		if !ep.listed {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -393,6 +393,69 @@
 	}
 }
 
+// A wait binds also calls that were decided before: they are called back once, as far as their lane is the one told to
+// wait, keep their tries, rest their key no longer, and go out after it.
+func TestToldWaitCallsBack(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		kind, back int
+	}{{"shared limit", 0, 2}, {"routes apart", 1, 1}} {
+		b := newBench(t, func(s *Settings) { s.MaxAttempts = 2 }, Entry{Endpoint: 11, Destination: 1, Kind: c.kind},
+			Entry{Endpoint: 12, Destination: 1, Kind: c.kind}, Entry{Endpoint: 21, Destination: 2})
+		at := map[MessageID]EndpointID{}
+		ids := []MessageID{}
+		for range 3 {
+			id, out := b.take(safe)
+			at[id] = sends(out)[0].Endpoint
+			ids = append(ids, id)
+		}
+		b.step(Arrived{ID: "other", Destination: 2, TimeLeft: 16 * sec})
+		back := pick[Recall](b.end(ids[0], 0, at[ids[0]], Full, withWait(500*ms)))
+		if len(back) != c.back {
+			t.Fatalf("%s: called back %v, want %d", c.name, back, c.back)
+		}
+		for _, r := range back {
+			if c.kind == 1 && at[r.ID] != at[ids[0]] {
+				t.Errorf("%s: called back from the other route", c.name)
+			}
+			got := b.end(r.ID, r.Attempt, at[r.ID], NotSent, func(e *Ended) { e.Recalled = true })
+			if len(pick[Recall](got)) != 0 {
+				t.Errorf("%s: called back again: %v", c.name, got)
+			}
+			out := sends(got)
+			if m, gone := b.s.held[r.ID], len(out); m.tries != gone || gone != c.kind {
+				t.Errorf("%s: called back, sent elsewhere %d times and counted as %d tries", c.name, gone, m.tries)
+			}
+			if ep := b.s.endpoints[at[r.ID]]; ep.fails != 0 {
+				t.Errorf("%s: the endpoint is blamed", c.name)
+			}
+			if out = append(out, sends(b.wait(495*ms))...); len(out) != c.kind {
+				t.Errorf("%s: %d sends during the wait", c.name, len(out))
+			}
+			if out = append(out, sends(b.wait(6*sec))...); !slices.ContainsFunc(out, func(a Send) bool { return a.ID == r.ID }) {
+				t.Errorf("%s: not sent again", c.name)
+			}
+			b.end(r.ID, r.Attempt+1, out[0].Endpoint, OK)
+			if b.s.held[r.ID] != nil {
+				t.Errorf("%s: the second attempt has another number than %d", c.name, r.Attempt+1)
+			}
+			if c.back > 1 {
+				break // the other waits for its slot in the pace
+			}
+		}
+	}
+}
+
+// Drains call back as waits do.
+func TestDrainCallsBack(t *testing.T) {
+	b := newBench(t, nil)
+	id, _ := b.take(ordered)
+	got := pick[Recall](b.step(Listed{Entries: []Entry{{Endpoint: 11, Destination: 1, Draining: true}}}))
+	if len(got) != 1 || got[0].ID != id || got[0].Attempt != 0 {
+		t.Errorf("called back: %v", got)
+	}
+}
+
 // The pace, clause by clause.
 
 func TestPaceFirstCut(t *testing.T) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -111,6 +111,7 @@
 	judged    bool
 	overdue   bool // its class was held against the endpoint
 	told      bool // to the other senders
+	recalled  bool // as far as it was not written yet
 	cancelled bool
 }
 
@@ -135,6 +136,7 @@
 	order     *turn
 	deadline  time.Duration
 	tries     int
+	back      int // attempts called back, which are no tries but have numbers
 	out       []*attempt
 	mayRun    time.Duration // send time of the earliest attempt that may have run; never if none
 	mayRunAt  *endpoint
@@ -447,7 +449,7 @@
 func (s *Sender) open(ep *endpoint, msgs []*message) *call {
 	c := &call{ep: ep, sent: s.now, open: len(msgs)}
 	for _, m := range msgs {
-		a := &attempt{id: m.id, num: m.tries, call: c, msg: m}
+		a := &attempt{id: m.id, num: m.tries + m.back, call: c, msg: m}
 		m.tries++
 		m.out = append(m.out, a)
 		if m.order != nil {
@@ -476,6 +478,10 @@
 	delete(s.attempts, key)
 	m, c := a.msg, a.call
 	m.out = without(m.out, a)
+	if e.Recalled {
+		m.tries--
+		m.back++
+	}
 	if m.order != nil {
 		m.order.out--
 		if e.Outcome == TimedOut || e.Outcome == Reset || e.Outcome == Cancelled {
@@ -509,6 +515,19 @@
 	}
 }
 
+// recallCall calls a call back, once.
+func (s *Sender) recallCall(c *call) {
+	if c.recalled {
+		return
+	}
+	c.recalled = true
+	for _, a := range c.attempts {
+		if s.attempts[attemptKey{a.id, a.num}] == a && !a.msg.streamed {
+			s.act(Recall{ID: a.id, Attempt: a.num})
+		}
+	}
+}
+
 // backlog is how many seconds a destination's held messages take at its recent rate.
 func (s *Sender) backlog(d *destination) float64 {
 	return float64(len(d.msgs)) / max(d.served.perSecond(s.now, deliveredMemory), 1e-3)
