Waits told by spoilt, late and forgotten answers hold; outlasted messages end at once

- A wait in an answer that is spoilt behind its header was dropped, also that of a 200 that breaks off (outcomes).
The wait begins when the answer is written, so a header that came whole tells it; a half-read number or header tells none.
- The answer to a call given up was never looked at, though it may have come (conn.answer).
It is looked at once more.
- An endpoint that had gone was forgotten after 30 s with the wait that it had told (forgetGone), where routes are apart.
- Wait-Ms "Inf" shut a destination for an hour; of two fields the first counted.
Now only whole and decimal numbers count, and the longest of several.
- A message that a told wait outlasts was kept to its deadline (handBack asked for a crowd on probation).
It is answered at once, in any fleet, with when to come back where the settings allow it: nothing can become of it here.

A property test drives senders with 600 random events each and asserts that nothing is sent to a lane inside a wait that it was told, and that all that is out there is called back in that step.

--- a/internal/outbound/call.go
+++ b/internal/outbound/call.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -64,7 +65,8 @@
 
 // outcomes reads an answer. lost is the outcome where none came: it may have run. So may what got a spoilt answer,
 // whatever its first line says: a refusal that cannot be read whole proves nothing. Only a 200 to a call with one
-// message stands. fresh tells that it is the connection's first answer.
+// message stands. A wait is told by any answer whose header came whole, spoilt behind it or not. fresh tells that it is the
+// connection's first answer.
 //
 // A 503 that ends a fresh connection turns away the connection, not the call: the endpoint holds as many as it can
 // (the protocol's "too many connections"), and to the module that is no connection had. Guards against taking a full
@@ -72,13 +74,17 @@
 // after each answer and refuses the first call for its load: then the module sees failures where a pace would do.
 func outcomes(call *exchange.Call, resp *http1.Response, err error, lost rules.Outcome, fresh bool) []exchange.ItemResult {
 	single := len(call.Items) == 1
-	switch {
-	case resp != nil && err != nil && single && resp.Status == 200:
-		return same(call, exchange.ItemResult{Outcome: rules.OK})
-	case resp == nil || err != nil:
+	if resp == nil {
 		return same(call, exchange.ItemResult{Outcome: lost})
 	}
-	r := exchange.ItemResult{Wait: told(resp.Header), Report: report(resp.Header)}
+	r := exchange.ItemResult{Outcome: lost, Wait: told(resp.Header)}
+	if err != nil {
+		if single && resp.Status == 200 {
+			r.Outcome = rules.OK
+		}
+		return same(call, r)
+	}
+	r.Report = report(resp.Header)
 	switch resp.Status {
 	case 200:
 		if !single {
@@ -153,13 +159,21 @@
 	return out
 }
 
-// told is the wait that an answer asks for, 0 if none.
-func told(h http1.Header) time.Duration {
-	ms, err := strconv.ParseFloat(h.Get("Wait-Ms"), 64)
-	if err != nil || !(ms > 0) {
-		return 0
+// mostWait is the longest wait believed: more is a slip of the other side's, which would shut a destination for good.
+const mostWait = time.Hour
+
+// told is the wait that an answer asks for, 0 if none: the longest of those told, in whole or decimal milliseconds. What is
+// not such a number tells none and takes nothing from another.
+func told(h http1.Header) (longest time.Duration) {
+	for _, f := range h {
+		if !strings.EqualFold(f.Name, "Wait-Ms") || strings.Trim(f.Value, "0123456789.") != "" {
+			continue
+		}
+		if ms, err := strconv.ParseFloat(f.Value, 64); err == nil || errors.Is(err, strconv.ErrRange) {
+			longest = max(longest, time.Duration(min(ms*float64(time.Millisecond), float64(mostWait))))
+		}
 	}
-	return time.Duration(min(ms, float64(time.Hour/time.Millisecond)) * float64(time.Millisecond))
+	return longest
 }
 
 // report is what an answer tells of the destination's limit. One that cannot be read whole tells nothing.
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -374,10 +374,16 @@
 
 // answer waits for the answer to a call. Once one has begun, the rest must follow soon: a peer that stops halfway, or
 // never comes to an end, would otherwise keep a slot until the message is out of time. An interim answer promises
-// nothing about when the real one comes.
+// nothing about when the real one comes. A call given up is looked at once more: an answer that has come and was not read
+// yet may tell a wait, which holds from when it was written.
 func (c *conn) answer(j *job) (*http1.Response, error) {
 	for range http1.MaxInterim + 1 {
-		if _, err := c.br.Peek(1); err != nil {
+		_, err := c.br.Peek(1)
+		if errors.Is(err, os.ErrDeadlineExceeded) && j.givenUp() {
+			c.nc.SetReadDeadline(time.Now().Add(leastMoment))
+			_, err = c.br.Peek(1)
+		}
+		if err != nil {
 			return nil, err
 		}
 		j.limit(answerLimit)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -921,21 +921,19 @@
 	s.cancel(oldest)
 }
 
-// handBack answers at once, with when to come again, what a crowd's sender cannot send in time as all listed
-// endpoints of its destination are on probation or ramp here: another sender may be well there. Guards
-// against messages kept to their end by a sender that trouble made careful; loses what clients give up.
+// handBack answers at once, with when to come again, what cannot be sent in time: a told wait of all listed
+// endpoints lasts longer or, in a crowd, all are on probation or ramp here: another sender may be well there.
+// Guards against messages kept to their end where nothing can become of them; loses what clients give up.
 func (s *Sender) handBack() {
-	if s.set.Senders <= crowd || !s.set.MayAdvise {
-		return
-	}
 	for _, d := range slices.Clone(s.waiting) {
 		at := never
 		for _, ep := range d.endpoints {
-			if ep.listed {
+			switch {
+			case !ep.listed:
+			case ep.health != healthy && s.set.Senders > crowd && s.set.MayAdvise:
 				at = min(at, s.gate(ep))
-			}
-			if ep.listed && ep.health == healthy {
-				at = 0
+			default:
+				at = min(at, ep.lane.pace.haltUntil)
 			}
 		}
 		for _, m := range slices.Clone(d.msgs) {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -446,6 +446,177 @@
 	}
 }
 
+// The longest wait told holds, in whatever order they come.
+func TestTheLongestWaitHolds(t *testing.T) {
+	for _, waits := range [][2]time.Duration{{sec, 200 * ms}, {200 * ms, sec}} {
+		b := newBench(t, nil)
+		first, _ := b.take(safe)
+		second, _ := b.take(safe)
+		b.end(first, 0, 11, Full, withWait(waits[0]))
+		b.end(second, 0, 11, Errored, withWait(waits[1]))
+		if got := sends(b.wait(995 * ms)); len(got) != 0 {
+			t.Errorf("waits of %v: %d sends before the longer is over", waits, len(got))
+		}
+		if got := sends(b.wait(5 * sec)); len(got) == 0 {
+			t.Errorf("waits of %v: nothing sent after them", waits)
+		}
+	}
+}
+
+// A wait holds though the endpoint that told it has left the list meanwhile, for the others of its destination or, where
+// routes are apart, for itself should it come back, however long that takes.
+func TestWaitOutlivesTheListing(t *testing.T) {
+	gone := Listed{Entries: []Entry{{Endpoint: 11, Destination: 1, Gone: true}}}
+	b := newBench(t, nil)
+	id, _ := b.take(safe)
+	b.step(gone, Listed{Entries: []Entry{{Endpoint: 12, Destination: 1}}})
+	got := sends(b.end(id, 0, 11, Full, withWait(sec)))
+	if got = append(got, sends(b.wait(995*ms))...); len(got) != 0 {
+		t.Errorf("%d sends to the new endpoint during the wait", len(got))
+	}
+
+	b = newBench(t, nil, Entry{Endpoint: 11, Destination: 1, Kind: 1}, Entry{Endpoint: 12, Destination: 1, Kind: 1, Draining: true})
+	id, _ = b.take(safe)
+	b.end(id, 0, 11, Errored, withWait(3*goneMemory))
+	b.step(gone)
+	b.now += 2 * goneMemory
+	b.step(Listed{Entries: []Entry{{Endpoint: 12, Destination: 1, Kind: 1, Draining: true}}})
+	b.step(Listed{Entries: []Entry{{Endpoint: 11, Destination: 1, Kind: 1}}})
+	if _, out := b.take(safe); len(sends(out)) != 0 {
+		t.Error("sent to an endpoint that came back within the wait that it had told")
+	}
+	b.now += goneMemory
+	b.step(gone)
+	b.now += 2 * goneMemory
+	if forgot := pick[Forgot](b.step(Listed{})); len(forgot) != 1 {
+		t.Errorf("forgot %v after the wait", forgot)
+	}
+}
+
+// What a told wait outlasts is answered at once, with when to come back; what has another route goes there.
+func TestWaitPastTheDeadlineIsAnsweredAtOnce(t *testing.T) {
+	for _, senders := range []int{2, 300} {
+		b := newBench(t, func(s *Settings) { s.Senders = senders })
+		id, _ := b.take(once)
+		late, _ := b.take(safe)
+		out := b.end(id, 0, 11, Full, withWait(20*sec))
+		got := pick[Refuse](out)
+		for _, r := range pick[Recall](out) { // a crowd's sender has one call out
+			got = append(got, pick[Refuse](b.end(r.ID, r.Attempt, 11, NotSent, func(e *Ended) { e.Recalled = true }))...)
+		}
+		if want := []Refuse{{id, 3 * sec}, {late, 3 * sec}}; !slices.Equal(got, want) {
+			t.Errorf("%d senders: answered %v, want %v", senders, got, want)
+		}
+		_, out = b.take(keyed)
+		if n := finals(out); n != 1 {
+			t.Errorf("%d senders: %d answers to what comes during the wait, want one at once", senders, n)
+		}
+	}
+	b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1, Kind: 1}, Entry{Endpoint: 12, Destination: 1, Kind: 1})
+	id, out := b.take(once)
+	if out = b.end(id, 0, sends(out)[0].Endpoint, Full, withWait(20*sec)); finals(out) != 0 {
+		t.Error("given up though another route is open")
+	}
+	if got := append(sends(out), sends(b.wait(3*sec))...); len(got) != 1 {
+		t.Errorf("%d sends to the other route, want 1", len(got))
+	}
+}
+
+// A drain and a wait together call back once, and what is called back goes to whoever is left.
+func TestDrainAndWaitTogether(t *testing.T) {
+	b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1, Kind: 1}, Entry{Endpoint: 12, Destination: 1, Kind: 1})
+	id, out := b.take(safe)
+	at := sends(out)[0].Endpoint
+	out = b.step(Ended{ID: "unheard of", Endpoint: at, Outcome: Full, Wait: sec},
+		Listed{Entries: []Entry{{Endpoint: at, Destination: 1, Kind: 1, Draining: true}}})
+	out = append(out, b.wait(100*ms)...)
+	if got := pick[Recall](out); len(got) != 1 {
+		t.Errorf("called back %v, want once", got)
+	}
+	if got := sends(b.end(id, 0, at, NotSent, func(e *Ended) { e.Recalled = true })); len(got) != 1 || got[0].Endpoint == at {
+		t.Errorf("sent %v, want once to the other", got)
+	}
+}
+
+// TestNoSendInsideAToldWait drives senders with random events. Nothing may be sent to a lane inside a wait that it was told,
+// and of what was sent before, all that has no outcome must be called back as the wait is told.
+func TestNoSendInsideAToldWait(t *testing.T) {
+	type out struct {
+		id       MessageID
+		num      int
+		ep       EndpointID
+		recalled bool
+	}
+	for seed := range uint64(60) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		kind := int(seed % 3)
+		entry := func(n int) Entry {
+			return Entry{Endpoint: EndpointID(n), Destination: 1 + n%2, Kind: kind, Draining: r.IntN(4) == 0, Gone: r.IntN(8) == 0}
+		}
+		b := newBench(t, func(s *Settings) { s.Senders, s.Seed = []int{2, 300}[seed/3%2], seed }, entry(11), entry(12), entry(13), entry(14))
+		lane := func(ep EndpointID) int {
+			if kind == 1 {
+				return int(ep) // routes apart
+			}
+			return 1 + int(ep)%2
+		}
+		until, pending := map[int]time.Duration{}, []out{}
+		numbers := map[MessageID]int{}
+		waits := 0
+		for range 600 {
+			b.now += time.Duration(r.IntN(60)) * ms
+			var events []Event
+			for range r.IntN(3) {
+				events = append(events, Arrived{ID: b.arrive(safe), Destination: 1 + r.IntN(2), Class: r.IntN(5), TimeLeft: 16 * sec})
+			}
+			if r.IntN(6) == 0 {
+				events = append(events, Listed{Entries: []Entry{entry(11 + r.IntN(6))}})
+			}
+			pending = slices.DeleteFunc(pending, func(o out) bool {
+				if r.IntN(4) > 0 {
+					return false
+				}
+				e := Ended{ID: o.id, Attempt: o.num, Endpoint: o.ep, Outcome: Outcome(r.IntN(int(NotSent) + 1)), Elapsed: 50 * ms,
+					Recalled: o.recalled}
+				if e.Over = e.Outcome == OK; e.Recalled {
+					e.Outcome, e.Over = NotSent, false
+				} else if r.IntN(3) == 0 {
+					e.Wait = time.Duration(r.IntN(3000)) * ms
+					until[lane(o.ep)] = max(until[lane(o.ep)], b.now+e.Wait)
+					waits++
+				}
+				events = append(events, e)
+				return true
+			})
+			for _, a := range b.step(events...) {
+				switch a := a.(type) {
+				case Send:
+					if b.now < until[lane(a.Endpoint)] {
+						t.Fatalf("seed %d: sent to endpoint %d at %v, told to wait until %v", seed, a.Endpoint, b.now, until[lane(a.Endpoint)])
+					}
+					pending = append(pending, out{id: a.ID, num: numbers[a.ID], ep: a.Endpoint})
+					numbers[a.ID]++
+				case Recall:
+					i := slices.IndexFunc(pending, func(o out) bool { return o.id == a.ID && o.num == a.Attempt })
+					if i < 0 || pending[i].recalled {
+						t.Fatalf("seed %d: attempt %d of %s is called back, which is not out or was called back before", seed, a.Attempt, a.ID)
+					}
+					pending[i].recalled = true
+				}
+			}
+			for _, o := range pending {
+				if b.now < until[lane(o.ep)] && !o.recalled {
+					t.Fatalf("seed %d: attempt %d of %s at endpoint %d is not called back by %v, told to wait until %v",
+						seed, o.num, o.id, o.ep, b.now, until[lane(o.ep)])
+				}
+			}
+		}
+		if waits == 0 || b.n == 0 {
+			t.Errorf("seed %d: %d messages, %d waits", seed, b.n, waits)
+		}
+	}
+}
+
 // Drains call back as waits do.
 func TestDrainCallsBack(t *testing.T) {
 	b := newBench(t, nil)
--- a/rules/state.go
+++ b/rules/state.go
@@ -378,13 +378,13 @@
 	ep.gone = gone
 }
 
-// forgetGone drops endpoints that have long been gone, once nothing of them is out and no message may have run there,
-// so that endpoints that are replaced all day long leave nothing behind. The last of a destination stays until another
+// forgetGone drops endpoints that have long been gone, once nothing of them is out, no wait told by them lasts and no
+// message may have run there, so that endpoints that are replaced all day long leave nothing behind. The last of a destination stays until another
 // comes, as a new one takes its lane and its failures from those there.
 func (s *Sender) forgetGone() {
 	for _, ep := range slices.Clone(s.gone) {
 		d := ep.dest
-		if s.now-ep.goneAt < goneMemory || len(ep.calls) > 0 || len(d.endpoints) == 1 ||
+		if s.now-ep.goneAt < goneMemory || len(ep.calls) > 0 || s.now < ep.lane.pace.haltUntil || len(d.endpoints) == 1 ||
 			slices.ContainsFunc(d.msgs, func(m *message) bool { return m.mayRunAt == ep }) {
 			continue
 		}
