--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -223,5 +224,6 @@
 			"submitted", in.Submitted.Load(), "rejected", in.Rejected.Load(), "gone", in.Gone.Load()),
 		slog.Group("discovery", "lists", s.registry.Lists.Load(), "failed", s.registry.Failed.Load(),
 			"notices_pending", s.notices.Pending(), "notices_failed", s.notices.Failed.Load()),
-		slog.Group("ledger", "broken", s.ledger.Stats().Broken))
+		slog.Group("ledger", "broken", s.ledger.Stats().Broken),
+		slog.Group("process", "goroutines", runtime.NumGoroutine()))
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -37,6 +37,14 @@
 	ended   chan struct{} // closed at the end, so that nobody waits on
 	notices []string
 	muted   bool
+	indent  bool
+}
+
+// Indent makes the lists that follow come indented, as a person would write them.
+func (d *Discovery) Indent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.indent = true
 }
 
 // Mute makes discovery answer no question for the list, or lets it answer again; notices it takes all the time.
@@ -98,7 +106,11 @@
 	if hosts == nil {
 		hosts = []Entry{}
 	}
-	text, _ := json.Marshal(map[string]any{"seq": d.seq, "whole": whole, "hosts": hosts}) // plain values always encode
+	list := map[string]any{"seq": d.seq, "whole": whole, "hosts": hosts}
+	text, _ := json.Marshal(list) // plain values always encode
+	if d.indent {
+		text, _ = json.MarshalIndent(list, "", "  ")
+	}
 	return text
 }
 
