A call that waits for its connection leaves without messages whose time has ended

The probe logged each call written after the end of one of its messages, and found those two and no other:

Cause: both went in one call of several messages. When a message's time ended, giveUp ended it alone and left the call to the others, as if it were written; its connection came up late, and the call took both along. Ruled out: messages withdrawn by their clients (none logged), single calls (cancelled at once).

Change: giving up one message of a call first calls the call back; if nothing was written, the others go out again without it, at no cost of an attempt. A final answer that the module gives before the deadline, as where steps are far apart, gives up what is out of the message. Tests: TestABatchLeavesWithoutWhatHasEnded, TestAFinalAnswerGivesUpTheCall, each fails without its answer.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -606,6 +606,64 @@
 	w.led.Close()
 }
 
+// A message whose time ends while its call waits for a connection does not go out with the others of the call: the call is
+// called back, and they go out without it. What is written already goes on.
+func TestABatchLeavesWithoutWhatHasEnded(t *testing.T) {
+	for _, written := range []bool{false, true} {
+		w := newWorld(t, t.TempDir(), nil)
+		w.ends.onRecall = func(*Call) bool { return !written }
+		w.Recover()
+		replies := make(chan Answer, 10)
+		for i := range 3 {
+			m := msg(fmt.Sprint("m", i), "stock", 2)
+			if i == 0 {
+				m.Deadline = time.Now().Add(time.Second)
+			}
+			w.Exchange.take(m, replies)
+		}
+		w.step()
+		c := <-w.ends.started
+		if len(c.Items) != 3 {
+			t.Fatalf("a call of %d messages, want 3", len(c.Items))
+		}
+		w.later(time.Second)
+		w.step()
+		if n := len(w.plat.told); n != 1 || (<-w.plat.told).ID != "m0" {
+			t.Errorf("written %v: %d notices, want one for the message out of time", written, n)
+		}
+		w.step()
+		w.later(time.Second)
+		w.step()
+		if written {
+			if n := len(w.ends.started); n != 0 || w.counts.Outcomes[rules.TimedOut] != 1 {
+				t.Errorf("written: %d more calls, counters %+v", n, w.counts)
+			}
+		} else if next := testkit.Next(t, w.ends.started, "call"); len(next.Items) != 2 || next.Items[0].ID == "m0" || next.Items[1].ID == "m0" {
+			t.Errorf("called back: %d messages go out again, want the two others", len(next.Items))
+		}
+		w.addUp(w.snapshot())
+		w.led.Close()
+	}
+}
+
+// Where steps are far apart the module answers before a message's time is over; the call that is out is given up with it.
+func TestAFinalAnswerGivesUpTheCall(t *testing.T) {
+	w := newWorld(t, t.TempDir(), func(s *rules.Settings) { s.Tick, s.AnswerGrace = time.Second, 0 })
+	w.Recover()
+	w.Exchange.take(msg("a", "payment", 1), make(chan Answer, 1))
+	w.step()
+	c := testkit.Next(t, w.ends.started, "call")
+	w.later(14*time.Second + time.Millisecond)
+	w.step()
+	if n := testkit.Next(t, w.plat.told, "notice"); n.ID != "a" {
+		t.Errorf("notice %+v", n)
+	}
+	if len(w.ends.cancelled) != 1 || <-w.ends.cancelled != c {
+		t.Error("the call goes on after the final answer")
+	}
+	w.led.Close()
+}
+
 // A told wait halts the destination whatever outcome brought it.
 func TestWaitWithAnyOutcome(t *testing.T) {
 	w := begin(t, nil)
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -170,6 +170,7 @@
 }
 
 func (x *Exchange) tell(h *held, n ledger.Notice) {
+	x.release(h)
 	x.drop(h)
 	x.record(x.cfg.Ledger.Tell(n))
 	x.cfg.Platform.Tell(n)
@@ -280,35 +281,59 @@
 	i := slices.IndexFunc(x.flights, func(f *flight) bool {
 		return slices.ContainsFunc(f.items, func(it item) bool { return it.msg.ID == id && it.num == num && !it.told })
 	})
-	if i < 0 || !x.flights[i].handle.Recall() {
-		return
+	if i >= 0 {
+		x.callBack(x.flights[i])
+	}
+}
+
+// callBack ends a call, with all its messages, if the endpoint side still can: none of them has been sent.
+func (x *Exchange) callBack(f *flight) bool {
+	if !f.handle.Recall() {
+		return false
 	}
-	f := x.flights[i]
-	x.flights = slices.Delete(x.flights, i, i+1)
 	x.counts.Recalled++
 	if h := x.dir.hosts[f.ep]; h.Draining || h.Gone {
 		x.cfg.Caller.CloseIdle(f.call.To) // the connection on its way would find no use
 	}
-	for i := range f.items {
-		if !f.items[i].told {
-			x.ended(f, i, ItemResult{Outcome: rules.NotSent, Back: true})
+	var r Result
+	for _, it := range f.items {
+		one := ItemResult{Outcome: rules.NotSent, Back: true}
+		if it.quit {
+			one = ItemResult{Outcome: rules.Cancelled}
 		}
+		r.Items = append(r.Items, one)
 	}
+	x.finished(f, r)
+	return true
 }
 
-// giveUp ends the wait for one attempt. The connection is closed with the last of a call, whose result then
-// tells whether it was written; until then the others' answers may still come, and this one counts as written.
+// giveUp ends the wait for one attempt. The connection is closed with the last of a call, whose result then tells whether
+// it was written. Until then the others' answers may still come, and this one counts as written; but a call that is not
+// written yet is called back, or it would take along what has had its final answer, as late as its connection comes up.
 func (x *Exchange) giveUp(f *flight, i int, why rules.Outcome) {
 	f.items[i].quit, f.items[i].ends = true, why
 	for j := range f.items {
 		if it := f.items[j]; !it.told && !it.quit {
-			x.ended(f, i, ItemResult{Outcome: why})
+			if !x.callBack(f) {
+				x.ended(f, i, ItemResult{Outcome: why})
+			}
 			return
 		}
 	}
 	f.handle.Cancel()
 }
 
+// release gives up what is out of a message that has its final answer, at its due time at the latest.
+func (x *Exchange) release(h *held) {
+	for _, f := range slices.Clone(x.flights) {
+		for i := range f.items {
+			if it := &f.items[i]; it.msg == h.msg && !it.told && !it.quit {
+				x.giveUp(f, i, rules.TimedOut)
+			}
+		}
+	}
+}
+
 // finished takes the result of a call.
 func (x *Exchange) finished(f *flight, r Result) {
 	i := slices.Index(x.flights, f)
