--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -51,21 +51,21 @@
 
 // ItemResult is how one message of a call fared.
 type ItemResult struct {
-	Outcome rules.Outcome
-	Wait    time.Duration
-	NoSlot  bool
-	NoPlace bool // with ConnectError: the endpoint is there, and says that it holds all the connections it can
-	Back    bool // with NotSent: called back
-	Over    bool // the endpoint says that the message is over: nothing more is owed
-	Report  rules.Report
+	Outcome  rules.Outcome
+	Wait     time.Duration
+	NoSlot   bool
+	NoPlace  bool // with ConnectError: the endpoint is there, and says that it holds all the connections it can
+	Recalled bool // with NotSent
+	Over     bool // the endpoint says that the message is over: nothing more is owed
+	Report   rules.Report
 }
 
 // Handle lets a call be ended from this side.
 type Handle interface {
 	// Cancel gives the call up, wherever it is. Its result is still handed in.
 	Cancel()
-	// Recall calls the call back unless its last byte is written or being written. True: it has not reached the endpoint
-	// and never will, and no result is to come. False: it goes on.
+	// Recall gives the call up unless its last byte is written or being written. True: it has not reached the endpoint and
+	// never will, and a result still handed in means nothing. False: it goes on.
 	Recall() bool
 }
 
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -32,6 +32,11 @@
 	quit bool          // it is given up
 }
 
+// attempt means one attempt by the module's names.
+func attempt(id rules.MessageID, num int) func(*item) bool {
+	return func(it *item) bool { return it.msg.ID == string(id) && it.num == num }
+}
+
 // nextDue is when the next attempt of the call times out, negative if none is left.
 func (f *flight) nextDue() time.Duration {
 	due := time.Duration(-1)
@@ -97,9 +102,9 @@
 		case rules.Fail:
 			x.fail(x.held[string(a.ID)])
 		case rules.Cancel:
-			x.cancel(string(a.ID), a.Attempt)
+			x.giveUpAll(rules.Cancelled, attempt(a.ID, a.Attempt))
 		case rules.Recall:
-			x.recall(string(a.ID), a.Attempt)
+			x.recall(attempt(a.ID, a.Attempt))
 		case rules.CloseIdle:
 			x.cfg.Caller.CloseIdle(x.dir.hosts[a.Endpoint].Peer)
 		case rules.Forgot:
@@ -170,7 +175,7 @@
 }
 
 func (x *Exchange) tell(h *held, n ledger.Notice) {
-	x.release(h)
+	x.giveUpAll(rules.TimedOut, func(it *item) bool { return it.msg == h.msg }) // nothing may reach an endpoint from now on
 	x.drop(h)
 	x.record(x.cfg.Ledger.Tell(n))
 	x.cfg.Platform.Tell(n)
@@ -256,52 +261,39 @@
 
 // expire gives up the attempts whose time is over.
 func (x *Exchange) expire(now time.Duration) {
-	for _, f := range slices.Clone(x.flights) {
-		for i := range f.items {
-			if it := &f.items[i]; !it.told && !it.quit && it.due <= now {
-				x.giveUp(f, i, rules.TimedOut)
-			}
-		}
-	}
+	x.giveUpAll(rules.TimedOut, func(it *item) bool { return it.due <= now })
 }
 
-// cancel gives up an attempt on the module's wish.
-func (x *Exchange) cancel(id string, num int) {
+// giveUpAll gives up those attempts without an outcome that are meant.
+func (x *Exchange) giveUpAll(why rules.Outcome, meant func(*item) bool) {
 	for _, f := range slices.Clone(x.flights) {
 		for i := range f.items {
-			if it := &f.items[i]; it.msg.ID == id && it.num == num && !it.told && !it.quit {
-				x.giveUp(f, i, rules.Cancelled)
+			if it := &f.items[i]; !it.told && !it.quit && meant(it) {
+				x.giveUp(f, i, why)
 			}
 		}
 	}
 }
 
-// recall calls a call back, with all its messages, if the endpoint side still can. Its slot is free at once.
-func (x *Exchange) recall(id string, num int) {
+// recall calls back, with all its messages, the call that holds what is meant.
+func (x *Exchange) recall(meant func(*item) bool) {
 	i := slices.IndexFunc(x.flights, func(f *flight) bool {
-		return slices.ContainsFunc(f.items, func(it item) bool { return it.msg.ID == id && it.num == num && !it.told })
+		return slices.ContainsFunc(f.items, func(it item) bool { return !it.told && meant(&it) })
 	})
 	if i >= 0 {
 		x.callBack(x.flights[i])
 	}
 }
 
-// callBack ends a call, with all its messages, if the endpoint side still can: none of them has been sent.
+// callBack ends a call if the endpoint side can still do so: none of its messages has been sent. Its slot is free at once.
 func (x *Exchange) callBack(f *flight) bool {
 	if !f.handle.Recall() {
 		return false
 	}
 	x.counts.Recalled++
-	if h := x.dir.hosts[f.ep]; h.Draining || h.Gone {
-		x.cfg.Caller.CloseIdle(f.call.To) // the connection on its way would find no use
-	}
 	var r Result
 	for _, it := range f.items {
-		one := ItemResult{Outcome: rules.NotSent, Back: true}
-		if it.quit {
-			one = ItemResult{Outcome: rules.Cancelled}
-		}
-		r.Items = append(r.Items, one)
+		r.Items = append(r.Items, ItemResult{Outcome: rules.NotSent, Recalled: !it.quit})
 	}
 	x.finished(f, r)
 	return true
@@ -323,17 +315,6 @@
 	f.handle.Cancel()
 }
 
-// release gives up what is out of a message that has its final answer, at its due time at the latest.
-func (x *Exchange) release(h *held) {
-	for _, f := range slices.Clone(x.flights) {
-		for i := range f.items {
-			if it := &f.items[i]; it.msg == h.msg && !it.told && !it.quit {
-				x.giveUp(f, i, rules.TimedOut)
-			}
-		}
-	}
-}
-
 // finished takes the result of a call.
 func (x *Exchange) finished(f *flight, r Result) {
 	i := slices.Index(x.flights, f)
@@ -384,7 +365,7 @@
 		x.record(x.cfg.Ledger.Outcome(it.msg.ID, it.num, r.Outcome.MayRun(), failed(r)))
 	}
 	x.events = append(x.events, rules.Ended{ID: rules.MessageID(it.msg.ID), Attempt: it.num, Endpoint: f.ep,
-		Outcome: r.Outcome, Elapsed: x.now() - f.sent, Over: over, Wait: r.Wait, NoSlot: r.NoSlot, NoPlace: r.NoPlace, Recalled: r.Back, Report: r.Report})
+		Outcome: r.Outcome, Elapsed: x.now() - f.sent, Over: over, Wait: r.Wait, NoSlot: r.NoSlot, NoPlace: r.NoPlace, Recalled: r.Recalled, Report: r.Report})
 }
 
 // failed tells whether a result speaks of an endpoint in trouble rather than of a limit or a full table.
--- a/internal/outbound/call.go
+++ b/internal/outbound/call.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -169,9 +168,8 @@
 		if !strings.EqualFold(f.Name, "Wait-Ms") || strings.Trim(f.Value, "0123456789.") != "" {
 			continue
 		}
-		if ms, err := strconv.ParseFloat(f.Value, 64); err == nil || errors.Is(err, strconv.ErrRange) {
-			longest = max(longest, time.Duration(min(ms*float64(time.Millisecond), float64(mostWait))))
-		}
+		ms, _ := strconv.ParseFloat(f.Value, 64) // 0 for no number, infinite for one beyond all range
+		longest = max(longest, time.Duration(min(ms*float64(time.Millisecond), float64(mostWait))))
 	}
 	return longest
 }
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -31,13 +31,12 @@
 
 // Pool makes calls.
 type Pool struct {
-	cfg   Config
-	mu    sync.Mutex
-	idle  map[exchange.Peer][]*conn // the last used last
-	dials map[*job]bool             // calls whose connections are being opened
-	open  int                       // connections and attempts at one
-	shut  bool
-	wg    sync.WaitGroup
+	cfg  Config
+	mu   sync.Mutex
+	idle map[exchange.Peer][]*conn // the last used last
+	open int                       // connections and attempts at one
+	shut bool
+	wg   sync.WaitGroup
 
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	moment time.Duration // before the last byte of a call, at least
@@ -46,8 +45,8 @@
 
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg, idle: map[exchange.Peer][]*conn{}, dials: map[*job]bool{},
-		dial: (&net.Dialer{KeepAlive: -1}).DialContext, moment: leastMoment}
+	d := net.Dialer{KeepAlive: -1}
+	return &Pool{cfg: cfg, idle: map[exchange.Peer][]*conn{}, dial: d.DialContext, moment: leastMoment}
 }
 
 // conn is one connection. Its goroutine reads while it is idle, so that it sees the other side close it; a call is
@@ -58,8 +57,7 @@
 	buf    []byte
 	trip   time.Duration // how long it took to open
 	moment time.Duration // before the last byte of a call, at least
-	since  time.Time     // idle since
-	served bool          // a call has been written to it
+	since  time.Time     // idle since; zero until its first call is over
 	next   *job          // guarded by the pool's lock
 }
 
@@ -68,7 +66,6 @@
 	call   *exchange.Call
 	mu     sync.Mutex
 	given  bool // up
-	back   bool // called back before its last byte
 	out    bool // its last byte is written, or is being written
 	nc     net.Conn
 	undial context.CancelFunc
@@ -92,6 +89,11 @@
 func (j *job) Cancel() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.giveUp()
+}
+
+// giveUp ends what the call waits for. Call it with the lock held.
+func (j *job) giveUp() {
 	j.given = true
 	if j.undial != nil {
 		j.undial()
@@ -101,35 +103,30 @@
 	}
 }
 
-// Recall calls the call back unless it may have reached the endpoint whole. A connection that is on its way for it still
-// comes up, for the next one.
+// Recall gives the call up unless it may have reached the endpoint whole.
 func (j *job) Recall() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.out || j.given {
 		return false
 	}
-	j.back = true
-	if j.nc != nil {
-		j.nc.SetReadDeadline(longAgo) // it may be about to write its last byte
-	}
+	j.giveUp()
 	return true
 }
 
-// attach lets Cancel and Recall reach the connection; it is false if the call has been given up or called back before.
+// attach lets Cancel and Recall reach the connection; it is false if the call has been given up before.
 func (j *job) attach(nc net.Conn, undial context.CancelFunc) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.nc, j.undial = nc, undial
-	return !j.given && !j.back
+	return !j.given
 }
 
-// commit is the point of no return, right before the last byte is written; it is false if the call has been given up or
-// called back before.
+// commit is the point of no return, right before the last byte is written; it is false if the call has been given up before.
 func (j *job) commit() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.out = !j.given && !j.back
+	j.out = !j.given
 	return j.out
 }
 
@@ -137,7 +134,7 @@
 func (j *job) limit(after time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.given || j.back || j.nc == nil {
+	if j.given || j.nc == nil {
 		return
 	}
 	var at time.Time
@@ -207,24 +204,10 @@
 	}
 }
 
-// abandon ends the opening of a connection whose call was called back.
-func (j *job) abandon() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.back && j.undial != nil {
-		j.undial()
-	}
-}
-
-// CloseIdle closes the idle connections to a peer, and does not wait for those that are opened for no call any more.
+// CloseIdle closes the idle connections to a peer.
 func (p *Pool) CloseIdle(to exchange.Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for j := range p.dials {
-		if j.call.To == to {
-			j.abandon()
-		}
-	}
 	for c := p.pop(to); c != nil; c = p.pop(to) {
 		c.nc.SetReadDeadline(longAgo)
 	}
@@ -234,9 +217,6 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.shut = true
-	for j := range p.dials {
-		j.abandon()
-	}
 	for _, list := range p.idle {
 		for _, c := range list {
 			c.nc.SetReadDeadline(longAgo)
@@ -279,13 +259,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.ConnectTimeout)
 	defer cancel()
 	if !j.attach(nil, cancel) {
-		p.finish(j, rules.ConnectError)
-		return nil
+		cancel()
 	}
-	p.dialling(j, true)
 	begun := time.Now()
 	nc, err := p.dial(ctx, "tcp", j.call.To.Dial)
-	p.dialling(j, false)
 	if err != nil {
 		p.finish(j, rules.ConnectError)
 		return nil
@@ -293,25 +270,9 @@
 	return &conn{nc: nc, br: bufio.NewReaderSize(nc, 2048), trip: time.Since(begun), moment: p.moment}
 }
 
-func (p *Pool) dialling(j *job, now bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now {
-		p.dials[j] = true
-	} else {
-		delete(p.dials, j)
-	}
-}
-
-// finish ends a call that did not reach the endpoint. Of one called back no result is to come.
+// finish ends a call that did not reach the endpoint.
 func (p *Pool) finish(j *job, o rules.Outcome) {
-	j.mu.Lock()
-	given, back := j.given, j.back
-	j.mu.Unlock()
-	if back {
-		return
-	}
-	if given {
+	if j.givenUp() {
 		o = rules.Cancelled
 	}
 	p.cfg.Finish(j.call, exchange.Result{Items: same(j.call, exchange.ItemResult{Outcome: o})})
@@ -348,27 +309,23 @@
 // next bytes; where resets take longer it costs the moment, and some processor time. It is false if the last byte has not
 // been written.
 func (c *conn) write(j *job, wary bool) bool {
-	last := len(c.buf) - 1
-	if !wary {
-		if !j.commit() {
+	rest := c.buf
+	if last := len(c.buf) - 1; wary {
+		if _, err := c.nc.Write(c.buf[:last]); err != nil {
 			return false
 		}
-		_, err := c.nc.Write(c.buf)
-		return err == nil
-	}
-	if _, err := c.nc.Write(c.buf[:last]); err != nil {
-		return false
-	}
-	j.limit(max(c.moment, min(c.trip, mostMoment)))
-	_, err := c.br.Peek(1)
-	if early := err == nil && !c.served; !early && !errors.Is(err, os.ErrDeadlineExceeded) {
-		return false // broken, or with bytes of what came before; an early answer on a new one is this call's
+		j.limit(max(c.moment, min(c.trip, mostMoment)))
+		_, err := c.br.Peek(1)
+		if early := err == nil && c.since.IsZero(); !early && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false // broken, or with bytes of what came before; an early answer on a new one is this call's
+		}
+		j.limit(0)
+		rest = c.buf[last:]
 	}
-	j.limit(0)
 	if !j.commit() {
 		return false
 	}
-	_, err = c.nc.Write(c.buf[last:])
+	_, err := c.nc.Write(rest)
 	return err == nil
 }
 
@@ -408,8 +365,6 @@
 		p.finish(j, rules.ConnectError)
 		return false
 	}
-	fresh := !c.served
-	c.served = true
 	resp, err := c.answer(j)
 	j.attach(nil, nil)
 	if resp == nil && errors.Is(err, syscall.ECONNRESET) {
@@ -419,7 +374,7 @@
 	if j.givenUp() {
 		lost = rules.Cancelled
 	}
-	p.cfg.Finish(j.call, exchange.Result{Written: true, Items: outcomes(j.call, resp, err, lost, fresh)})
+	p.cfg.Finish(j.call, exchange.Result{Written: true, Items: outcomes(j.call, resp, err, lost, c.since.IsZero())})
 	if cap(c.buf) > maxKept {
 		c.buf = nil
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -76,6 +76,7 @@
 		{`"overload_factor": 2.0`, `"overload_factor": 0.5`, "safety.overload_factor is 0.5, want 1 to 1000"},
 		{`"grace_to_answer_us": 20000`, `"grace_to_answer_us": -20000`,
 			"safety.grace_to_answer_us is -20000, want 0 to 3600000000"},
+		{`"balancers": 1,`, `"balancers": 1000001,`, "balancers is 1000001, want 1 to 1000000"},
 		{`"max_attempts": 12`, `"max_attempts": 0`, "allowed.max_attempts is 0, want 1 to 1000000"},
 		{`"late_worth": 0.4, "worth": 2`, `"late_worth": 0.4, "worth": -2`, "request_classes[1].worth is -2, want 0 to 1000000"},
 	} {
--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -43,6 +43,9 @@
 	if diff := cmp.Diff(s, again); err != nil || diff != "" {
 		t.Errorf("written and read again: %v\n%s", err, diff)
 	}
+	if _, err := scenario.Parse("large", []byte(strings.Replace(good, "= 3\n", "= 3\nendpoints = [1024, 1_000_000]\n", 1))); err != nil {
+		t.Errorf("many endpoints at one destination: %v", err)
+	}
 }
 
 // TestBadFilesAreRefusedByLine changes one line of a good file at a time.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -204,13 +204,7 @@
 	if !s.set.MayAdvise {
 		return 0
 	}
-	at := never
-	for _, ep := range d.endpoints {
-		if ep.listed {
-			at = min(at, s.gate(ep))
-		}
-	}
-	return min(max(at-s.now, s.horizon(d)), s.set.MaxRetryAfter)
+	return min(max(d.soonest(s.gate)-s.now, s.horizon(d)), s.set.MaxRetryAfter)
 }
 
 // endDue ends what can earn nothing more: out of time, out of attempts, or past its key's window.
@@ -246,8 +240,8 @@
 // maySend is the guard that every send passes; it holds the rules, whatever the plan says.
 func (s *Sender) maySend(m *message, ep *endpoint) bool {
 	mayNow := s.now >= m.notBefore && !m.ended() && len(m.out) == 0 && s.now < s.due(m) && !s.spent(m)
-	mayHere := !s.closed(ep) && ep.dest == m.dest && (m.class.Effect != Keyed || s.keyHolds(m, ep))
-	return mayNow && mayHere && (m.order == nil || s.hasTurn(m))
+	return mayNow && !s.closed(ep) && ep.dest == m.dest &&
+		(m.class.Effect != Keyed || s.keyHolds(m, ep)) && (m.order == nil || s.hasTurn(m))
 }
 
 // closed tells whether nothing may reach an endpoint: it drains, is gone, or its lane was told to wait.
@@ -258,7 +252,7 @@
 func (s *Sender) callBack() {
 	for _, c := range s.calls {
 		if s.closed(c.ep) {
-			s.recallCall(c)
+			s.turnBack(c)
 		}
 	}
 }
@@ -925,20 +919,25 @@
 // endpoints lasts longer or, in a crowd, all are on probation or ramp here: another sender may be well there.
 // Guards against messages kept to their end where nothing can become of them; loses what clients give up.
 func (s *Sender) handBack() {
+	halted := func(ep *endpoint) time.Duration { return ep.lane.pace.haltUntil }
 	for _, d := range slices.Clone(s.waiting) {
-		at := never
-		for _, ep := range d.endpoints {
-			switch {
-			case !ep.listed:
-			case ep.health != healthy && s.set.Senders > crowd && s.set.MayAdvise:
-				at = min(at, s.gate(ep))
-			default:
-				at = min(at, ep.lane.pace.haltUntil)
+		at := d.soonest(func(ep *endpoint) time.Duration {
+			if ep.health != healthy && s.set.Senders > crowd && s.set.MayAdvise {
+				return s.gate(ep)
 			}
+			return halted(ep)
+		})
+		if at <= d.firstDue || at == never {
+			continue
 		}
+		shut := d.soonest(halted)
+		d.firstDue = never
 		for _, m := range slices.Clone(d.msgs) {
-			if at != never && len(m.out) == 0 && !m.streamed && s.mayRefuse(m) && at > s.due(m) {
+			due := s.due(m)
+			if mayEnd := at > due && s.mayRefuse(m) || shut > due; mayEnd && len(m.out) == 0 && !m.streamed {
 				s.end(m)
+			} else {
+				d.firstDue = min(d.firstDue, due)
 			}
 		}
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -96,7 +96,8 @@
 type destination struct {
 	seq       int // in the order first heard of
 	endpoints []*endpoint
-	msgs      []*message // held, in order of arrival
+	msgs      []*message    // held, in order of arrival
+	firstDue  time.Duration // none of them is due before; may be early
 	served    meter
 	wanted    meter         // arrivals
 	retryAt   time.Duration // no call before at endpoints that failed
@@ -209,7 +210,7 @@
 func (s *Sender) destination(n int) *destination {
 	d := s.dests[n]
 	if d == nil {
-		d = &destination{seq: len(s.order)}
+		d = &destination{seq: len(s.order), firstDue: never}
 		s.dests[n] = d
 		s.order = append(s.order, d)
 	}
@@ -244,6 +245,7 @@
 		s.waiting = slices.Insert(s.waiting, i, m.dest)
 	}
 	m.dest.msgs = append(m.dest.msgs, m)
+	m.dest.firstDue = min(m.dest.firstDue, s.due(m))
 	s.pushDue(m)
 	s.endAt = min(s.endAt, s.endsNext(m))
 	m.dest.wanted.add(s.now, deliveredMemory, 1)
@@ -379,8 +381,8 @@
 }
 
 // forgetGone drops endpoints that have long been gone, once nothing of them is out, no wait told by them lasts and no
-// message may have run there, so that endpoints that are replaced all day long leave nothing behind. The last of a destination stays until another
-// comes, as a new one takes its lane and its failures from those there.
+// message may have run there, so that endpoints that are replaced all day long leave nothing behind. The last of a
+// destination stays until another comes, as a new one takes its lane and its failures from those there.
 func (s *Sender) forgetGone() {
 	for _, ep := range slices.Clone(s.gone) {
 		d := ep.dest
@@ -395,6 +397,17 @@
 	}
 }
 
+// soonest is the least of what is told of a destination's listed endpoints, never if there are none.
+func (d *destination) soonest(at func(*endpoint) time.Duration) time.Duration {
+	least := never
+	for _, ep := range d.endpoints {
+		if ep.listed {
+			least = min(least, at(ep))
+		}
+	}
+	return least
+}
+
 // width is how many endpoints a destination has, one at least.
 func (d *destination) width() int {
 	n := 0
@@ -508,22 +521,22 @@
 		return
 	}
 	c.cancelled = true
-	for _, a := range c.attempts {
-		if s.attempts[attemptKey{a.id, a.num}] == a && !a.msg.streamed {
-			s.act(Cancel{ID: a.id, Attempt: a.num})
-		}
-	}
+	s.actOn(c, func(id MessageID, num int) Action { return Cancel{ID: id, Attempt: num} })
 }
 
-// recallCall calls a call back, once.
-func (s *Sender) recallCall(c *call) {
-	if c.recalled {
-		return
+// turnBack calls a call back, once.
+func (s *Sender) turnBack(c *call) {
+	if !c.recalled {
+		c.recalled = true
+		s.actOn(c, func(id MessageID, num int) Action { return Recall{ID: id, Attempt: num} })
 	}
-	c.recalled = true
+}
+
+// actOn does the same to each of a call's attempts that is still out and the sender's.
+func (s *Sender) actOn(c *call, action func(MessageID, int) Action) {
 	for _, a := range c.attempts {
 		if s.attempts[attemptKey{a.id, a.num}] == a && !a.msg.streamed {
-			s.act(Recall{ID: a.id, Attempt: a.num})
+			s.act(action(a.id, a.num))
 		}
 	}
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -37,14 +37,14 @@
 	ended   chan struct{} // closed at the end, so that nobody waits on
 	notices []string
 	muted   bool
-	indent  bool
+	indent  string
 }
 
-// Indent makes the lists that follow come indented, as a person would write them.
-func (d *Discovery) Indent() {
+// Indent makes the lists that follow come indented by this, as a person would write them, or plain by nothing.
+func (d *Discovery) Indent(by string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.indent = true
+	d.indent = by
 }
 
 // Mute makes discovery answer no question for the list, or lets it answer again; notices it takes all the time.
@@ -108,8 +108,8 @@
 	}
 	list := map[string]any{"seq": d.seq, "whole": whole, "hosts": hosts}
 	text, _ := json.Marshal(list) // plain values always encode
-	if d.indent {
-		text, _ = json.MarshalIndent(list, "", "  ")
+	if d.indent != "" {
+		text, _ = json.MarshalIndent(list, "", d.indent)
 	}
 	return text
 }
