A call of several messages ends whole with the first of their ends, and is not kept open

Cause: giveUp (internal/exchange/step.go) ended one message alone and kept the call for the others. Ruled out: records lost over a restart (every message taken had an end), notices (all accepted within ms), answers to clients (no write failed), spoilt answers (the raw one was whole).

Beside it, by reading: a message that timed out alone went out again while the call was still open, a second copy on the wire.

Change: waiting for a call ends after its longest time-out or with the first of its messages' time, for all of them. Written: the connection is closed. Not written: called back, as before.

--- a/internal/exchange/counts.go
+++ b/internal/exchange/counts.go
@@ -43,11 +43,7 @@
 	c := x.counts
 	c.Held = len(x.held)
 	for _, f := range x.flights {
-		for _, it := range f.items {
-			if !it.told {
-				c.Out++
-			}
-		}
+		c.Out += len(f.items)
 	}
 	return c
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -344,8 +344,8 @@
 func (x *Exchange) nextDue() time.Duration {
 	due := x.wakeAt
 	for _, f := range x.flights {
-		if at := f.nextDue(); at >= 0 && (due < 0 || at < due) {
-			due = at
+		if !f.quit && (due < 0 || f.due < due) {
+			due = f.due
 		}
 	}
 	return due
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -593,6 +594,36 @@
 	}
 }
 
+// What is written ends whole with the first of its messages' time: no message of a call is waited for any longer, nor does
+// one go out again while the call may still be answered. Its wait, as the endpoint is told, ends then.
+func TestAWrittenCallEndsWithTheFirstOfItsMessages(t *testing.T) {
+	w := newWorld(t, t.TempDir(), nil)
+	w.ends.onRecall = func(*Call) bool { return false }
+	w.Recover()
+	w.offer(3, 5*time.Second)
+	c := testkit.Next(t, w.ends.started, "call")
+	if c.Waiting > 5*time.Second || c.Waiting < 4*time.Second {
+		t.Errorf("the call waits %v, want until the first of its messages ends", c.Waiting)
+	}
+	w.later(5 * time.Second)
+	w.step()
+	if n := len(w.ends.cancelled); n != 1 || <-w.ends.cancelled != c {
+		t.Fatalf("%d calls given up, want the one, once", n)
+	}
+	w.later(time.Second)
+	w.step()
+	if n, out := len(w.ends.cancelled)+len(w.ends.started), w.snapshot().Out; n != 0 || out != 3 {
+		t.Errorf("%d further calls or ends before the call has ended, %d attempts out, want none and 3", n, out)
+	}
+	w.finished(c.flight, Result{Written: true, Items: slices.Repeat([]ItemResult{{Outcome: rules.Cancelled}}, 3)})
+	w.step()
+	if got := w.snapshot(); got.Outcomes[rules.TimedOut] != 3 || got.Dead != 3 {
+		t.Errorf("counters %+v, want three timed out and told", got)
+	}
+	w.addUp(w.snapshot())
+	w.led.Close()
+}
+
 // Where steps are far apart the module answers before a message's time is over; the call that is out is given up with it.
 func TestAFinalAnswerGivesUpTheCall(t *testing.T) {
 	w := newWorld(t, t.TempDir(), func(s *rules.Settings) { s.Tick, s.AnswerGrace = time.Second, 0 })
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -13,39 +13,31 @@
 	"eiderhaven/rules"
 )
 
-// flight is a call that is out.
+// flight is a call that is out. Its messages share one fate: it is answered, called back or given up whole.
 type flight struct {
 	call   *Call
 	handle Handle
 	ep     rules.EndpointID
 	sent   time.Duration
 	items  []item
+
+	firstEnd time.Duration // when the time of the first of its messages is up
+	due      time.Duration // when waiting for it ends: then, or after its longest time-out
+	quit     bool          // it is given up
+	ends     rules.Outcome // and why
 }
 
 // item is one attempt of a call.
 type item struct {
-	msg  *message.Message
-	num  int
-	due  time.Duration // when waiting for it ends
-	told bool          // the module has its outcome
-	ends rules.Outcome // why it is given up
-	quit bool          // it is given up
-}
-
-// attempt means one attempt by the module's names.
-func attempt(id rules.MessageID, num int) func(*item) bool {
-	return func(it *item) bool { return it.msg.ID == string(id) && it.num == num }
+	msg *message.Message
+	num int
 }
 
-// nextDue is when the next attempt of the call times out, negative if none is left.
-func (f *flight) nextDue() time.Duration {
-	due := time.Duration(-1)
-	for _, it := range f.items {
-		if !it.told && !it.quit && (due < 0 || it.due < due) {
-			due = it.due
-		}
+// attempt means the call of one attempt by the module's names.
+func attempt(id rules.MessageID, num int) func(*flight) bool {
+	return func(f *flight) bool {
+		return slices.ContainsFunc(f.items, func(it item) bool { return it.msg.ID == string(id) && it.num == num })
 	}
-	return due
 }
 
 // take takes in a message, unless it cannot be kept.
@@ -175,7 +167,9 @@
 }
 
 func (x *Exchange) tell(h *held, n ledger.Notice) {
-	x.giveUpAll(rules.TimedOut, func(it *item) bool { return it.msg == h.msg }) // nothing may reach an endpoint from now on
+	x.giveUpAll(rules.TimedOut, func(f *flight) bool { // nothing may reach an endpoint from now on
+		return slices.ContainsFunc(f.items, func(it item) bool { return it.msg == h.msg })
+	})
 	x.drop(h)
 	x.record(x.cfg.Ledger.Tell(n))
 	x.cfg.Platform.Tell(n)
@@ -206,22 +200,27 @@
 			continue
 		}
 		host := x.dir.hosts[s.Endpoint]
-		it := item{msg: h.msg, num: h.attempts, due: now + time.Until(h.msg.Deadline)}
+		ends := now + time.Until(h.msg.Deadline)
+		patience := ends
 		if s.Timeout > 0 {
-			it.due = min(it.due, now+s.Timeout)
+			patience = min(ends, now+s.Timeout)
 		}
+		it := item{msg: h.msg, num: h.attempts}
 		h.attempts++
 		x.counts.Attempts++
 		f := open[s.Endpoint]
 		if f == nil || len(f.items) >= x.batch(host.Kind) {
-			f = &flight{ep: s.Endpoint, sent: now, call: &Call{To: host.Peer}}
+			f = &flight{ep: s.Endpoint, sent: now, due: patience, firstEnd: ends, call: &Call{To: host.Peer}}
 			f.call.flight = f
 			open[s.Endpoint] = f
 			order = append(order, f)
 		}
 		f.items = append(f.items, it)
+		f.due, f.firstEnd = max(f.due, patience), min(f.firstEnd, ends)
 	}
 	for _, f := range order {
+		f.due = min(f.due, f.firstEnd)
+		f.call.Waiting = f.due - f.sent
 		x.start(f)
 	}
 }
@@ -241,7 +240,6 @@
 	misrouted := host.Dial == ""
 	for _, it := range f.items {
 		f.call.Items = append(f.call.Items, it.msg)
-		f.call.Waiting = max(f.call.Waiting, it.due-f.sent)
 		ids, nums = append(ids, it.msg.ID), append(nums, it.num)
 		misrouted = misrouted || it.msg.Dest != host.Dest
 	}
@@ -259,28 +257,23 @@
 	f.handle = x.cfg.Caller.Start(f.call)
 }
 
-// expire gives up the attempts whose time is over.
+// expire gives up the calls whose time is over.
 func (x *Exchange) expire(now time.Duration) {
-	x.giveUpAll(rules.TimedOut, func(it *item) bool { return it.due <= now })
+	x.giveUpAll(rules.TimedOut, func(f *flight) bool { return f.due <= now })
 }
 
-// giveUpAll gives up those attempts without an outcome that are meant.
-func (x *Exchange) giveUpAll(why rules.Outcome, meant func(*item) bool) {
+// giveUpAll gives up the calls that are meant.
+func (x *Exchange) giveUpAll(why rules.Outcome, meant func(*flight) bool) {
 	for _, f := range slices.Clone(x.flights) {
-		for i := range f.items {
-			if it := &f.items[i]; !it.told && !it.quit && meant(it) {
-				x.giveUp(f, i, why)
-			}
+		if !f.quit && meant(f) {
+			x.giveUp(f, why)
 		}
 	}
 }
 
-// recall calls back, with all its messages, the call that holds what is meant.
-func (x *Exchange) recall(meant func(*item) bool) {
-	i := slices.IndexFunc(x.flights, func(f *flight) bool {
-		return slices.ContainsFunc(f.items, func(it item) bool { return !it.told && meant(&it) })
-	})
-	if i >= 0 {
+// recall calls back the call that is meant.
+func (x *Exchange) recall(meant func(*flight) bool) {
+	if i := slices.IndexFunc(x.flights, meant); i >= 0 {
 		x.callBack(x.flights[i])
 	}
 }
@@ -291,27 +284,20 @@
 		return false
 	}
 	x.counts.Recalled++
-	var r Result
-	for _, it := range f.items {
-		r.Items = append(r.Items, ItemResult{Outcome: rules.NotSent, Recalled: !it.quit})
-	}
-	x.finished(f, r)
+	x.finished(f, Result{Items: slices.Repeat([]ItemResult{{Outcome: rules.NotSent, Recalled: true}}, len(f.items))})
 	return true
 }
 
-// giveUp ends the wait for one attempt. The connection is closed with the last of a call, whose result then tells whether
-// it was written. Until then the others' answers may still come, and this one counts as written; but a call that is not
-// written yet is called back, or it would take along what has had its final answer, as late as its connection comes up.
-func (x *Exchange) giveUp(f *flight, i int, why rules.Outcome) {
-	f.items[i].quit, f.items[i].ends = true, why
-	for j := range f.items {
-		if it := f.items[j]; !it.told && !it.quit {
-			if !x.callBack(f) {
-				x.ended(f, i, ItemResult{Outcome: why})
-			}
-			return
-		}
+// giveUp ends the wait for a call, with all its messages. One that holds several and is not written yet is called back:
+// what has not ended goes out again, at no cost of an attempt. Else the connection is closed, and the result tells whether
+// it was written. Guards against a call that stays out when one of its messages has had its final answer, or goes elsewhere:
+// a peer may count it as given up from then on, whatever it answers the others, and the next attempt would be a second copy.
+// It hurts others that may not be repeated and whose answer was still to come.
+func (x *Exchange) giveUp(f *flight, why rules.Outcome) {
+	if len(f.items) > 1 && x.callBack(f) {
+		return
 	}
+	f.quit, f.ends = true, why
 	f.handle.Cancel()
 }
 
@@ -323,19 +309,15 @@
 	}
 	x.flights = slices.Delete(x.flights, i, i+1)
 	for i := range f.items {
-		it := f.items[i]
-		if it.told {
-			continue
-		}
 		res := ItemResult{Outcome: rules.Reset}
 		if i < len(r.Items) {
 			res = r.Items[i]
 		}
 		switch {
-		case !it.quit || res.Outcome != rules.Cancelled:
+		case !f.quit || res.Outcome != rules.Cancelled:
 		case r.Written:
-			res.Outcome = it.ends
-		case it.ends == rules.TimedOut:
+			res.Outcome = f.ends
+		case f.ends == rules.TimedOut:
 			res.Outcome = rules.ConnectError
 		default:
 			res.Outcome = rules.NotSent
@@ -347,7 +329,6 @@
 // ended tells the module how an attempt ended, and books it.
 func (x *Exchange) ended(f *flight, i int, r ItemResult) {
 	it := &f.items[i]
-	it.told = true
 	x.counts.Outcomes[r.Outcome]++
 	h := x.held[it.msg.ID]
 	over := h == nil
