A change of the list is heard within 6 s, past a silent watch and two lost calls

Term: a change counts as told 6 s after discovery had it and could be reached, whatever failed before. On the text before, over real connections: told after 5.1 s past one silent watch, 10.2 s past a silent second call, 15.4 s past a third; 5.2 s after a return.

Cause: registry.go asked with after= and 4 s + 1 s of patience after a failure too, and had one limit for an answer that never begins and one that is long. A watch answered at once with nothing was asked without end; of versions that went back, changes were taken for the whole.

Change: after a failure the whole list, given up when its answer has not begun after 1 s (2 s at the start, half as much again after each, 3 s at most, so that a slow discovery is heard); 1.5 to 3 s for the rest of an answer; watches wait 2 s. Sums in the comment and in TestAReturnIsHeardInTime.

Tests: TestAChangeIsHeardInTime, TestAReturnIsHeardInTime, TestOddWatches, TestSlowDiscovery; the first three fail on the text before with the times above, "ten calls took 11 ms" and changes taken for the list.

--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -7,7 +7,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -71,23 +73,40 @@
 	maxList      = 4 << 20 // bytes of the longest list that is read
 )
 
-// do makes a request at a place and waits for its answer until the limit has passed, the context ends or discovery
+// limits are how long a request may take: until its answer begins, the connecting included, and from there to its end.
+type limits struct{ begin, rest time.Duration }
+
+// errSlow tells of an answer that began and did not end in its time.
+var errSlow = errors.New("the answer takes too long")
+
+// do makes a request at a place and waits for its answer until a limit has passed, the context ends or discovery
 // moves.
-func (c *client) do(ctx context.Context, at *place, limit time.Duration, method, target string, body []byte) (
+func (c *client) do(ctx context.Context, at *place, limit limits, method, target string, body []byte) (
 	*http1.Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	defer context.AfterFunc(at.stay, cancel)()
-	resp, err := c.send(ctx, at, http1.AppendRequest(c.buf[:0], method, target, http1.Header{{Name: "Host", Value: at.addr}}, body))
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(limit.begin, func() { cancel(os.ErrDeadlineExceeded) })
+	defer timer.Stop()
+	defer context.AfterFunc(at.stay, func() { cancel(errMoved) })()
+	begun := func() {
+		if timer.Stop() {
+			timer = time.AfterFunc(limit.rest, func() { cancel(errSlow) })
+		}
+	}
+	resp, err := c.send(ctx, at, begun, http1.AppendRequest(c.buf[:0], method, target, http1.Header{{Name: "Host", Value: at.addr}}, body))
+	timer.Stop()
 	if at.stay.Err() != nil {
 		c.close()
 		return nil, errMoved
 	}
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%s %s: %w", method, target, context.Cause(ctx))
+	}
 	return resp, err
 }
 
-// send writes the request on the connection kept, or on a new one.
-func (c *client) send(ctx context.Context, at *place, request []byte) (*http1.Response, error) {
+// send writes the request on the connection kept, or on a new one. It calls begun when the answer begins.
+func (c *client) send(ctx context.Context, at *place, begun func(), request []byte) (*http1.Response, error) {
 	c.buf = request
 	if c.at != at {
 		c.close()
@@ -104,17 +123,21 @@
 	nc := c.nc
 	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	resp, err := c.exchange()
+	resp, err := c.exchange(begun)
 	if err != nil || resp.Close || c.br.Buffered() > 0 || !stop() {
 		c.close()
 	}
 	return resp, err
 }
 
-func (c *client) exchange() (*http1.Response, error) {
+func (c *client) exchange(begun func()) (*http1.Response, error) {
 	if _, err := c.nc.Write(c.buf); err != nil {
 		return nil, err
 	}
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, err
+	}
+	begun()
 	return http1.ReadResponse(c.br, maxList)
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -19,14 +20,21 @@
 	"eiderhaven/internal/settings"
 )
 
-// Time limits of the watch. The platform counts a change as told 2 s after a call's wait has ended at the latest,
-// so a call waits briefly and is given up then.
+// Time limits of the calls. Whatever fails before, the platform counts a change as told 6 s after discovery had it and could
+// be reached. Until then a watch must have been given up that fell silent as it began, and two calls for the whole list that got
+// lost after it; or one that began just before discovery could be reached again, at the longest limit; or a watch whose answer
+// began and then dribbles. What is over those sums has the pauses between.
 const (
-	watchWait  = 4 * time.Second
-	watchGrace = time.Second // past the wait; a lost call must be asked again before a change counts as told
-	listLimit  = 2 * time.Second
+	watchWait  = 2 * time.Second
+	watchGrace = 500 * time.Millisecond // past the wait, until its answer begins
+	startBegin = 2 * time.Second        // until the answer to a call for the whole list begins, the connecting included: at the start,
+	leastBegin = time.Second            // later at least, or twice what the last one took,
+	mostBegin  = 3 * time.Second        // and at most; half as much again after each that did not begin, for a slow agent
+	leastRest  = 1500 * time.Millisecond
+	mostRest   = 3 * time.Second // for an answer that has begun; twice as long after one that took too long
 	firstPause = 50 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
+	emptyPause = 100 * time.Millisecond // after a watch that ends early with nothing; within 200 ms it still goes on
 )
 
 // Sink takes what the registry tells.
@@ -42,8 +50,10 @@
 	log     *slog.Logger
 	where   *Address
 	client  client
-	seq     int64  // of the list last heard
-	heardAt *place // where that was
+	seq     int64         // of the list last heard
+	heardAt *place        // where that was, nil if the next call is to bring the whole list
+	begin   time.Duration // until the answer to a call for the whole list begins
+	rest    time.Duration // for an answer that has begun
 	nudge   chan struct{}
 	heard   chan struct{} // closed at the first list
 	Lists   atomic.Int64
@@ -52,7 +62,7 @@
 
 // New returns a registry client that has not started.
 func New(where *Address, names *settings.Names, log *slog.Logger) *Registry {
-	return &Registry{names: names, log: log, where: where, nudge: make(chan struct{}, 1), heard: make(chan struct{})}
+	return &Registry{names: names, log: log, where: where, begin: startBegin, rest: leastRest, nudge: make(chan struct{}, 1), heard: make(chan struct{})}
 }
 
 // Heard is closed when the first list has come.
@@ -66,7 +76,9 @@
 	}
 }
 
-// Run follows the list until the context ends. A failure keeps the old list.
+// Run follows the list until the context ends. A failure keeps the old list, and asks for the whole of it anew: what a lost
+// answer told is not told again to who names the version after it, and the short limit of such a call bounds how long
+// a change stays unheard.
 func (r *Registry) Run(ctx context.Context, sink Sink) {
 	defer r.client.close()
 	pause := firstPause
@@ -82,26 +94,44 @@
 		} else if r.Failed.Add(1) == 1 {
 			r.log.Warn("discovery could not be heard; further failures are only counted", "err", err)
 		}
+		r.heardAt = nil
 		sink.ListFailed()
-		select {
-		case <-ctx.Done():
-		case <-r.nudge:
-		case <-r.where.now().stay.Done():
-		case <-time.After(pause):
-		}
+		r.wait(ctx, pause)
 		pause = min(2*pause, maxPause)
 	}
 }
 
-// ask makes one call: for the whole list at first and wherever discovery has moved to, as versions there may be
-// counted anew; then for what has changed since.
+// wait lasts as long as this, or until it is cut short by the context, a nudge or a move.
+func (r *Registry) wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.nudge:
+	case <-r.where.now().stay.Done():
+	case <-timer.C:
+	}
+}
+
+// ask makes one call: for the whole list at first, after a failure and wherever discovery has moved to, as versions there
+// may be counted anew; then for what has changed since.
 func (r *Registry) ask(ctx context.Context, sink Sink) error {
-	at, target, limit := r.where.now(), "/registry/instances", listLimit
-	if r.heardAt == at {
+	at, target, limit := r.where.now(), "/registry/instances", limits{r.begin, r.rest}
+	watching := r.heardAt == at
+	if watching {
 		target = fmt.Sprintf("%s?after=%d&wait_ms=%d", target, r.seq, watchWait.Milliseconds())
-		limit = watchWait + watchGrace
+		limit.begin = watchWait + watchGrace + max(0, r.begin-leastBegin)
 	}
+	begun := time.Now()
 	resp, err := r.client.do(ctx, at, limit, "GET", target, nil)
+	switch {
+	case errors.Is(err, errSlow):
+		r.rest = min(2*r.rest, mostRest)
+	case !watching && errors.Is(err, os.ErrDeadlineExceeded):
+		r.begin = min(r.begin*3/2, mostBegin)
+	case !watching && err == nil:
+		r.begin = min(max(2*time.Since(begun), leastBegin), mostBegin)
+	}
 	if err != nil {
 		return err
 	}
@@ -112,13 +142,21 @@
 	if err != nil {
 		return err
 	}
+	news := listing.Whole || len(listing.Hosts) > 0
+	if watching && !listing.Whole && seq < r.seq { // counted anew: changes since then say nothing of what was before
+		r.heardAt = nil
+		return nil
+	}
 	r.seq, r.heardAt = seq, at
-	if listing.Whole || len(listing.Hosts) > 0 {
+	if news {
 		sink.List(listing)
 	}
 	if r.Lists.Add(1) == 1 {
 		close(r.heard)
 	}
+	if watching && !news && time.Since(begun) < watchWait/2 {
+		r.wait(ctx, emptyPause) // else a watch that never waits would be asked without end
+	}
 	return nil
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,10 +1,12 @@
 package registry
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -362,3 +364,170 @@
 	start(t, func(ctx context.Context) { n.Run(ctx, s) })
 	testkit.Next(t, s.noticed, "word of acceptance")
 }
+
+// script is a discovery whose every call is answered by the next line of a script, the last one again and again.
+type script struct {
+	*platform.Server
+	targets chan string
+	at      atomic.Int32
+	end     chan struct{}
+}
+
+func newScript(t *testing.T, lines ...func(nc net.Conn, end chan struct{})) *script {
+	t.Helper()
+	d := &script{targets: make(chan string, 1000), end: make(chan struct{})}
+	var err error
+	d.Server, err = platform.ListenRaw("127.0.0.1:0", func(nc net.Conn) {
+		br := bufio.NewReader(nc)
+		for {
+			req, err := http1.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			line := lines[min(int(d.at.Add(1)), len(lines))-1]
+			d.targets <- req.Target
+			line(nc, d.end)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { close(d.end); d.Close() })
+	return d
+}
+
+// says answers with a list at once.
+func says(text string) func(net.Conn, chan struct{}) {
+	return func(nc net.Conn, _ chan struct{}) {
+		fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	}
+}
+
+func list(seq int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[%s]}`, seq, whole, strings.Join(entries, ","))
+}
+
+func silence(_ net.Conn, end chan struct{}) { <-end }
+
+// dribble begins an answer and sends a byte of it now and then.
+func dribble(nc net.Conn, end chan struct{}) {
+	io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n")
+	for {
+		select {
+		case <-end:
+			return
+		case <-time.After(20 * time.Millisecond):
+			if _, err := nc.Write([]byte(" ")); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// cut ends the connection within an answer.
+func cut(nc net.Conn, _ chan struct{}) {
+	io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{")
+	nc.Close()
+}
+
+// Whatever becomes of a watch and of the call after it, a change is heard within 6 s of the moment in which discovery had it:
+// a watch that falls silent as it begins and a call for the list that gets lost after it, or an answer that never ends.
+func TestAChangeIsHeardInTime(t *testing.T) {
+	first, change := list(1, true, entry("a", "Ready")), list(2, true, entry("a", "Terminating"))
+	for name, bad := range map[string][]func(net.Conn, chan struct{}){
+		"silent once": {silence}, "silent twice": {silence, silence}, "silent three times": {silence, silence, silence},
+		"dribbles": {dribble}, "cut": {cut, cut, cut}, "silent, then cut": {silence, cut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newScript(t, append(append([]func(net.Conn, chan struct{}){says(first)}, bad...), says(change), silence)...)
+			s := newSink()
+			start(t, func(ctx context.Context) { New(NewAddress(d.Addr()), names, quiet).Run(ctx, s) })
+			testkit.Next(t, s.lists, "first list")
+			begun := time.Now() // the watch follows at once
+			if l := testkit.Next(t, s.lists, "change"); !l.Hosts[0].Draining {
+				t.Errorf("heard %+v", l)
+			}
+			if took := time.Since(begun); took > 6*time.Second {
+				t.Errorf("the change was heard after %v", took)
+			}
+			asked := []string{testkit.Next(t, d.targets, "call"), testkit.Next(t, d.targets, "call"), testkit.Next(t, d.targets, "call")}
+			if strings.Contains(asked[0], "after=") || !strings.Contains(asked[1], "after=1&") || strings.Contains(asked[2], "after=") {
+				t.Errorf("asked %q, want the whole list, a watch, and the whole list again after the failure", asked)
+			}
+		})
+	}
+}
+
+// Discovery that is down for long is heard soon after it is back, however long it took and whenever a call was begun: each
+// call that it leaves unanswered is short, and so are the pauses.
+func TestAReturnIsHeardInTime(t *testing.T) {
+	for name, most := range map[string]time.Duration{
+		"a silent watch and two lost calls": watchWait + watchGrace + leastBegin*5/2 + 3*firstPause,
+		"a watch that dribbles":             watchWait + watchGrace + mostRest + firstPause,
+		"after a long outage":               mostBegin + maxPause,
+	} {
+		if most > 5600*time.Millisecond {
+			t.Errorf("%s: the limits add up to %v", name, most)
+		}
+	}
+	down := slices.Repeat([]func(net.Conn, chan struct{}){silence}, 3)
+	d := newScript(t, append(append([]func(net.Conn, chan struct{}){says(list(1, true))}, down...), says(list(5, true, entry("a", "Ready"))), silence)...)
+	s := newSink()
+	start(t, func(ctx context.Context) { New(NewAddress(d.Addr()), names, quiet).Run(ctx, s) })
+	testkit.Next(t, s.lists, "first list")
+	testkit.Eventually(t, "the last call before the return", func() bool { return d.at.Load() == 4 })
+	back := time.Now() // discovery is back now, but what was asked before stays unanswered
+	testkit.Next(t, s.lists, "list after the return")
+	if took := time.Since(back); took > mostBegin+maxPause+time.Second {
+		t.Errorf("the return was heard after %v", took)
+	}
+}
+
+// A watch that is answered at once with nothing is not asked without end, and one whose versions are counted anew is followed by
+// a call for the whole list.
+func TestOddWatches(t *testing.T) {
+	nothing := says(list(3, false))
+	d := newScript(t, says(list(3, true, entry("a", "Ready"))), nothing)
+	s := newSink()
+	r := New(NewAddress(d.Addr()), names, quiet)
+	start(t, func(ctx context.Context) { r.Run(ctx, s) })
+	testkit.Next(t, s.lists, "first list")
+	begun := time.Now()
+	testkit.Eventually(t, "ten calls", func() bool { return d.at.Load() >= 11 })
+	if took := time.Since(begun); took < 9*emptyPause {
+		t.Errorf("ten calls took %v, want pauses between", took)
+	}
+	if r.Failed.Load() != 0 {
+		t.Error("nothing has failed")
+	}
+
+	d = newScript(t, says(list(30, true, entry("a", "Ready"))), says(list(2, false, entry("b", "Ready"))), says(list(2, true, entry("c", "Ready"))), silence)
+	s = newSink()
+	start(t, func(ctx context.Context) { New(NewAddress(d.Addr()), names, quiet).Run(ctx, s) })
+	testkit.Next(t, s.lists, "first list")
+	if l := testkit.Next(t, s.lists, "list of the new count"); !l.Whole || l.Hosts[0].Name != "c" {
+		t.Errorf("heard %+v, want the whole list", l)
+	}
+}
+
+// A discovery that takes its time, longer than a lost call may take, is heard in the end and then on.
+func TestSlowDiscovery(t *testing.T) {
+	slow := func(text string) func(net.Conn, chan struct{}) {
+		return func(nc net.Conn, end chan struct{}) {
+			select {
+			case <-end:
+			case <-time.After(startBegin + leastBegin/4):
+				says(text)(nc, end)
+			}
+		}
+	}
+	d := newScript(t, slow(list(1, true, entry("a", "Ready"))), slow(list(1, true, entry("a", "Ready"))), slow(list(2, false, entry("a", "Terminating"))), silence)
+	s := newSink()
+	r := New(NewAddress(d.Addr()), names, quiet)
+	start(t, func(ctx context.Context) { r.Run(ctx, s) })
+	testkit.Next(t, s.lists, "first list")
+	if l := testkit.Next(t, s.lists, "change"); !l.Hosts[0].Draining || r.Failed.Load() != 1 {
+		t.Errorf("heard %+v after %d failures, want one", l, r.Failed.Load())
+	}
+}
