One way to end a client's connection: half-close, linger, close; evicted ones answer first

On the text before: a close over what lay behind the last request reset the connection ("connection reset by peer" where an end was due), as did a request that crossed the end; a client evicted with a request in the kernel, or in the midst of one, got no answer at all.

Cause: await, request and makeRoom closed at once, only reject lingered; makeRoom closed from another goroutine, whatever had come.

Change: Server.end is the one way (contract in its comment). A connection that has to make room ends by its own hand: what has come whole is answered, half a request refused (503). An eighth of the places is for those that linger, so that a flood of them holds up no newcomer; without one the connection is closed at once. The end of the process has one deadline, 3.6 s after the signal, handed down; clients are served for 3.0 s of it (3.1 before).

--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -41,9 +41,11 @@
 // Time limits of the phases. The platform kills a sender 3.7 s after it was told to end.
 const (
 	listWait   = 400 * time.Millisecond  // for the first list; without it the known one has to do
-	drainFor   = 3100 * time.Millisecond // clients are served so long after the signal
+	drainFor   = 3 * time.Second         // clients are served so long after the signal
+	exitBy     = 3600 * time.Millisecond // after the signal everything has ended, whatever it waits for
+	closeFor   = 400 * time.Millisecond  // for the last requests and for clients to read their answers
+	noticeFor  = 150 * time.Millisecond  // for the last notices
 	lastOrders = 600 * time.Millisecond  // within this, new clients still come
-	closeFor   = 150 * time.Millisecond  // for the last notices
 	slowClient = 2 * time.Second         // for a request, the first from the connecting
 	idleClient = 20 * time.Second        // between two
 )
@@ -114,9 +116,11 @@
 	}
 	s.enter(ready)
 	s.await(signals)
+	ctx, cancel := context.WithTimeout(context.Background(), exitBy)
+	defer cancel()
 	s.enter(draining)
 	s.drain(signals)
-	err := s.stop()
+	err := s.stop(ctx)
 	s.enter(stopped)
 	s.report()
 	return err
@@ -203,11 +207,16 @@
 	}
 }
 
-// stop ends the parts, those that take in first. What is owed stays in the ledger.
-func (s *service) stop() error {
+// stop ends the parts, those that take in first, each within its part of the time that the context leaves. What is owed
+// stays in the ledger.
+func (s *service) stop(ctx context.Context) error {
 	s.listener.Close()
-	s.intake.Close()
-	for end := time.Now().Add(closeFor); s.notices.Pending() > 0 && time.Now().Before(end); {
+	closing, cancel := context.WithTimeout(ctx, closeFor)
+	defer cancel()
+	s.intake.Close(closing)
+	notices, cancel := context.WithTimeout(ctx, noticeFor)
+	defer cancel()
+	for s.notices.Pending() > 0 && notices.Err() == nil {
 		time.Sleep(5 * time.Millisecond)
 	}
 	s.cancel()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -19,10 +20,13 @@
 	"eiderhaven/internal/socket"
 )
 
-// Time limits towards clients.
+// Limits towards clients.
 const (
 	clientPatience = 400 * time.Millisecond // a client goes away when it has waited so long (the protocol's figure)
-	lingering      = 200 * time.Millisecond // to read the answer to what was not read, or to end its last request
+	lingering      = 200 * time.Millisecond // for a client to read its last answer and close, or to end a request at the end
+	lastLook       = 5 * time.Millisecond   // for a client that makes room, to end a request
+	maxLinger      = 1 << 20                // bytes read meanwhile
+	lingerPart     = 8                      // of the connections: 1/8 may linger beside those that are served
 )
 
 // Config is what a server starts from.
@@ -50,16 +54,20 @@
 	cfg     Config
 	Counts  Counts
 	classes map[string]bool
-	room    chan struct{} // a token for each connection
+	room    chan struct{} // a token for each connection that is served
+	linger  chan struct{} // and for each that lingers beside them; both together are the cap
 	mu      sync.Mutex
 	conns   map[*client]bool
 	closing bool
+	endBy   time.Time // with closing: when all connections must have ended
 	wg      sync.WaitGroup
 }
 
 // New returns a server without connections.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, classes: map[string]bool{}, room: make(chan struct{}, cfg.MaxConns), conns: map[*client]bool{}}
+	beside := cfg.MaxConns / lingerPart
+	s := &Server{cfg: cfg, classes: map[string]bool{}, room: make(chan struct{}, cfg.MaxConns-beside),
+		linger: make(chan struct{}, beside), conns: map[*client]bool{}}
 	for _, c := range cfg.Classes {
 		s.classes[c] = true
 	}
@@ -68,6 +76,8 @@
 
 // Serve accepts connections until the listener is closed. Running out of descriptors only makes it wait.
 func (s *Server) Serve(ln net.Listener) {
+	s.wg.Add(1) // so that Close waits for what is accepted last, too
+	defer s.wg.Done()
 	pause := time.Millisecond
 	for {
 		nc, err := ln.Accept()
@@ -92,7 +102,7 @@
 }
 
 // makeRoom waits until one more connection is allowed, which is soon: one that is not being answered goes for it, and
-// answers do not take long.
+// answers do not take long. It goes by its own hand, so that what it has sent whole by then is still answered.
 func (s *Server) makeRoom() {
 	select {
 	case s.room <- struct{}{}:
@@ -102,18 +112,26 @@
 	s.mu.Lock()
 	var worst *client
 	for c := range s.conns {
-		if c.state != busy && (worst == nil || c.before(worst)) {
+		if c.state != busy && !c.leaving && (worst == nil || c.before(worst)) {
 			worst = c
 		}
 	}
 	if worst != nil {
-		worst.state = evicted
-		worst.nc.Close()
+		worst.leave(time.Now().Add(lastLook))
 	}
 	s.mu.Unlock()
 	s.room <- struct{}{}
 }
 
+// leave lets a connection serve what has come whole by then, and end. Call it with the server's lock held.
+func (c *client) leave(by time.Time) {
+	c.leaving = true
+	if c.state == idle {
+		by = longAgo // await looks once more
+	}
+	c.nc.SetReadDeadline(by)
+}
+
 // before tells whether c makes room rather than d: first those that have not sent a request worth an answer yet, the
 // oldest of them; then those between two requests, the one idle longest; last those within one. Guards against crowds
 // that connect and say nothing, or nothing that can be read, whoever they are. It hurts a client that is slow with its
@@ -135,30 +153,36 @@
 	return len(s.conns)
 }
 
-// Close closes every connection between two requests and waits for the answers still to be written; a request that
-// has begun must be whole soon. The listener must have been closed before.
-func (s *Server) Close() {
+// Close ends every connection between two requests and waits until the context ends at most: for the answers still to be
+// written, for requests that have begun, and for clients to close. The listener must have been closed before.
+func (s *Server) Close(ctx context.Context) {
 	s.mu.Lock()
-	s.closing = true
+	s.closing, s.endBy = true, time.Now().Add(2*lingering)
+	if end, bounded := ctx.Deadline(); bounded {
+		s.endBy = end
+	}
 	for c := range s.conns {
-		if c.state == idle {
-			c.nc.SetReadDeadline(longAgo)
-		} else {
-			c.nc.SetReadDeadline(time.Now().Add(lingering))
-		}
+		c.leave(s.soon(time.Now()))
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
 }
 
+// soon is when a request that has begun must be whole, at the end. Call it with the lock held.
+func (s *Server) soon(now time.Time) time.Time {
+	if at := now.Add(lingering); at.Before(s.endBy) {
+		return at
+	}
+	return s.endBy
+}
+
 // state is what a connection is at.
 type state int
 
 const (
 	idle    state = iota // between two requests
 	reading              // within a request
-	busy                 // a request is whole and owed its answer
-	evicted              // closed, to make room
+	busy                 // a request is whole and owed its answer, or the connection is ending
 )
 
 // client is one connection. What the server's lock guards is read by others than its own goroutine.
@@ -168,20 +192,17 @@
 	buf    []byte
 	opened time.Time
 
-	state  state     // guarded by the server's lock, as are the two below
-	since  time.Time // when it connected or last fell idle
-	proven bool      // it has sent a request that the exchange or a health check answered
+	state   state     // guarded by the server's lock, as are the three below
+	since   time.Time // when it connected or last fell idle
+	proven  bool      // it has sent a request that the exchange or a health check answered
+	leaving bool      // it makes room for another, or the server ends: nothing is read any more but what has come
 }
 
-// enter changes a connection's state; it is false if the connection was evicted meanwhile.
-func (s *Server) enter(c *client, to state) bool {
+// enter changes a connection's state.
+func (s *Server) enter(c *client, to state) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.state == evicted {
-		return false
-	}
 	c.state = to
-	return true
 }
 
 // longAgo as a deadline ends a blocked read at once.
@@ -189,32 +210,68 @@
 
 // serve is the life of a connection.
 func (s *Server) serve(c *client) {
-	defer func() {
-		c.nc.Close()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-		<-s.room
-	}()
 	for s.await(c) && s.request(c) {
 	}
+	s.end(c)
+}
+
+// end is the one way in which a connection ends: half-close, linger, close. The sending side is shut first, so that the client
+// reads its last answer and then the end; what it has sent meanwhile is read and dropped, never taken on, as a close over
+// unread bytes would reset the connection and take the last answer along. A request that crossed the end goes out again on a
+// new connection, by the protocol. It lasts until the client closes, a fifth of a second at most, or the end of
+// Close; at the room of another client, until no place to linger is left. It hurts by the descriptor held so long.
+func (s *Server) end(c *client) {
+	s.mu.Lock()
+	c.state = busy
+	by := time.Now().Add(lingering)
+	if s.closing {
+		by = s.soon(time.Now())
+	}
+	s.mu.Unlock()
+	held := s.room
+	if s.pressed(c) {
+		select {
+		case s.linger <- struct{}{}:
+			<-s.room
+			held = s.linger
+		default:
+			by = longAgo
+		}
+	}
+	c.half(by)
+	c.nc.Close()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	<-held
+}
+
+// half shuts the sending side and drops what comes until the client ends, the time is over or much has come.
+func (c *client) half(by time.Time) {
+	tcp, ok := c.nc.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	c.nc.SetReadDeadline(by)
+	for n := 0; n < maxLinger; {
+		k, err := c.br.Discard(c.br.Size())
+		if n += k; err != nil {
+			return
+		}
+	}
 }
 
 // await waits for the first byte of a request. It is false when the connection is to be closed. What has come as the
 // time ends is still read, so that closing crosses few requests.
 func (s *Server) await(c *client) bool {
 	s.mu.Lock()
-	if c.state == evicted {
-		s.mu.Unlock()
-		return false
-	}
 	c.state = idle
 	limit := c.opened.Add(s.cfg.Slow)
 	if c.proven {
 		c.since = time.Now()
 		limit = c.since.Add(s.cfg.Idle)
 	}
-	if s.closing {
+	if s.closing || c.leaving {
 		limit = longAgo
 	}
 	c.nc.SetReadDeadline(limit)
@@ -223,7 +280,8 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && !socket.Silent(c.nc) {
 		err = nil
 	}
-	return err == nil && s.enter(c, reading)
+	s.enter(c, reading)
+	return err == nil
 }
 
 // begin limits the time for a request whose first byte has come.
@@ -234,9 +292,12 @@
 	if first := c.opened.Add(s.cfg.Slow); !c.proven && first.Before(end) {
 		end = first
 	}
-	if soon := now.Add(lingering); s.closing && soon.Before(end) {
+	if soon := s.soon(now); s.closing && soon.Before(end) {
 		end = soon
 	}
+	if last := now.Add(lastLook); c.leaving && !s.closing && last.Before(end) {
+		end = last
+	}
 	c.nc.SetDeadline(end)
 }
 
@@ -255,20 +316,18 @@
 	if err != nil {
 		return s.reject(c, err)
 	}
-	if !s.enter(c, busy) {
-		return false
-	}
+	s.enter(c, busy)
 	s.Counts.Requests.Add(1)
 	a, taken := s.handle(c, req, body, arrived)
 	if a.status == 0 {
 		s.Counts.Gone.Add(1)
 		return false
 	}
-	ends := req.Close || s.prove(c, a.proves)
+	ends := s.prove(c, a.proves) || req.Close
 	if ends {
 		a.fields = append(a.fields, http1.Field{Name: "Connection", Value: "close"})
 	}
-	c.nc.SetDeadline(time.Now().Add(s.cfg.Slow))
+	c.nc.SetDeadline(s.writeBy())
 	c.buf = http1.AppendResponse(c.buf[:0], a.status, a.fields, []byte(a.text))
 	if _, err := c.nc.Write(c.buf); err != nil {
 		if taken != "" {
@@ -280,21 +339,41 @@
 	return !ends
 }
 
-// prove notes that a client has sent something of use, and tells whether the server is closing.
+// prove notes that a client has sent something of use, and tells whether its connection is to end.
 func (s *Server) prove(c *client, proves bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.proven = c.proven || proves
-	return s.closing
+	return s.closing || c.leaving
 }
 
-// reject answers what is not a request and ends the connection.
+// writeBy is when an answer must be written.
+func (s *Server) writeBy() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return s.endBy
+	}
+	return time.Now().Add(s.cfg.Slow)
+}
+
+// pressed tells whether a connection ends to make room for another.
+func (s *Server) pressed(c *client) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.leaving && !s.closing
+}
+
+// reject answers what is not a request, or not whole in its time, and ends the connection. Who had to make room is refused,
+// which makes it harmless to come again.
 func (s *Server) reject(c *client, err error) bool {
 	status := 0
 	var fault *http1.Error
 	switch {
 	case errors.As(err, &fault):
 		status = fault.Status
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.pressed(c):
+		status = 503
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = 408
 	default:
@@ -303,18 +382,7 @@
 	s.Counts.Rejected.Add(1)
 	c.nc.SetDeadline(time.Now().Add(lingering))
 	fields := http1.Header{{Name: "Connection", Value: "close"}}
-	if _, err := c.nc.Write(http1.AppendResponse(nil, status, fields, []byte(err.Error()+"\n"))); err != nil {
-		return false
-	}
-	if tcp, ok := c.nc.(*net.TCPConn); ok { // unread bytes would reset the connection before the answer is read
-		tcp.CloseWrite()
-		for n := 0; n < http1.MaxBody; {
-			k, err := c.br.Discard(c.br.Size())
-			if n += k; err != nil {
-				break
-			}
-		}
-	}
+	c.nc.Write(http1.AppendResponse(nil, status, fields, []byte(err.Error()+"\n")))
 	return false
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -74,7 +75,7 @@
 	t.Cleanup(func() {
 		s.ln.Close()
 		<-served
-		s.Close()
+		s.Close(context.Background())
 		x.Stop()
 		led.Close()
 	})
@@ -321,7 +322,7 @@
 	testkit.Eventually(t, "begun", func() bool { return s.between() == 1 })
 	s.ln.Close()
 	closed := make(chan struct{})
-	go func() { s.Close(); close(closed) }()
+	go func() { s.Close(context.Background()); close(closed) }()
 	if !idle.closed() {
 		t.Error("the idle connection stays open")
 	}
@@ -340,7 +341,7 @@
 	testkit.Eventually(t, "begun", func() bool { return s.Open() == 1 && s.between() == 0 })
 	begun := time.Now()
 	s.ln.Close()
-	s.Close()
+	s.Close(context.Background())
 	if took := time.Since(begun); took > 5*time.Second {
 		t.Errorf("the end took %v", took)
 	}
