At the end of the process calls not written yet are called back and tried by the next one

Term: what a restart finds taken on and untried is still tried. A call whose connection was still being opened as the process ended stood in the ledger as out: it may have run, so a payment ended as dead at the next start, untried.

Change: the exchange's last act calls back what no endpoint has got whole; the ledger says so. Test: TestStopCallsBackWhatIsNotWritten ("no call back" without it).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"eiderhaven/internal/ledger"
@@ -281,6 +282,7 @@
 			x.drain()
 			x.stopping = true
 			x.step()
+			x.recallAll()
 			return
 		}
 		x.drain()
@@ -294,6 +296,14 @@
 	<-x.done
 }
 
+// recallAll calls back, at the end, what no endpoint has got whole yet: the ledger then says that it has not run, and the next
+// process tries it again.
+func (x *Exchange) recallAll() {
+	for _, f := range slices.Clone(x.flights) {
+		x.callBack(f)
+	}
+}
+
 // drain takes in all that has come by now. What comes meanwhile waits for the next time, so that no flood keeps the
 // module from its step.
 func (x *Exchange) drain() {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -361,6 +361,24 @@
 	}
 }
 
+// At the end a call that no endpoint has got whole yet is called back: the next process finds its message untried and may try it,
+// whatever its class. One that is written may have run.
+func TestStopCallsBackWhatIsNotWritten(t *testing.T) {
+	for _, written := range []bool{false, true} {
+		w := begin(t, nil)
+		w.ends.onRecall = func(*Call) bool { return !written }
+		w.take(msg("a", "payment", 1))
+		c := testkit.Next(t, w.ends.started, "call")
+		w.end()
+		if got := testkit.Next(t, w.ends.recalled, "call back"); got != c {
+			t.Errorf("written %v: called back %+v, want %+v", written, got, c)
+		}
+		if owed := w.owed(); len(owed) != 1 || owed[0].MayRun != written {
+			t.Errorf("written %v: the next process finds %+v", written, owed)
+		}
+	}
+}
+
 func TestWithdrawn(t *testing.T) {
 	w := begin(t, nil)
 	w.take(msg("a", "stock", 1))
