A repeat of a keyed message leaves within its key's window or not at all

Cause: maySend guards the window at the moment of decision; between it and the last byte lies the opening of a connection. The call-back of waits and drains goes by steps, which may be 250 ms apart.

Change: Send.Within, by the module, and Call.LeaveBy, checked where the last byte is committed. What is too late ends as not sent, at no cost of an attempt. Beside it: a connection kept after its call was given up before a byte of it was written still counts as fresh, so that a full table is not taken for a limit.

Tests: TestARepeatLeavesWithinItsWindow, TestARepeatTellsWhenItHasToLeave, TestTooLateToLeave and TestAnUnusedConnectionIsFresh (real connections, opened at the test's word).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -41,6 +41,7 @@
 	To      Peer
 	Items   []*message.Message
 	Waiting time.Duration // how long the sender will wait for it
+	LeaveBy time.Time     // when its last byte must be written at the latest, or never; zero for whenever
 	flight  *flight
 }
 
@@ -197,6 +198,9 @@
 // now is the module's clock.
 func (x *Exchange) now() time.Duration { return clockStart + time.Since(x.started) }
 
+// clock is a time of the module's on this machine's clock.
+func (x *Exchange) clock(at time.Duration) time.Time { return x.started.Add(at - clockStart) }
+
 // post hands the exchange something to do; it is false if the exchange has ended.
 func (x *Exchange) post(f func()) bool {
 	select {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -560,6 +560,31 @@
 	w.step()
 }
 
+// A repeat tells the endpoint side by when it has to leave: the end of what the class allows, counted from the first attempt, also
+// where a process before this one made that.
+func TestARepeatTellsWhenItHasToLeave(t *testing.T) {
+	window := 3 * time.Second
+	w := newWorld(t, t.TempDir(), func(s *rules.Settings) {
+		s.Classes[0].Effect, s.Classes[0].Window = rules.Keyed, window
+	})
+	earlier := time.Now().Add(-time.Second)
+	m := msg("before", "stock", 1)
+	for _, err := range []error{w.led.Take(m), w.led.Call([]string{m.ID}, []int{0}, "s-1", earlier), w.led.Outcome(m.ID, 0, true, true)} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.start()
+	c := testkit.Next(t, w.ends.started, "repeat")
+	if late := c.LeaveBy.Sub(earlier); late > window || late < window-100*time.Millisecond {
+		t.Errorf("the repeat leaves up to %v after the first attempt, the window is %v", late, window)
+	}
+	w.take(msg("new", "stock", 1))
+	if c := testkit.Next(t, w.ends.started, "call"); !c.LeaveBy.IsZero() {
+		t.Errorf("a first attempt has to leave by %v", c.LeaveBy)
+	}
+}
+
 // A call that waits for its connection is called back whole by a wait told beside it, and as the time of one of its messages
 // ends, in the same step. It costs no attempt; what is left goes out together as soon as it may. What is written goes on.
 func TestCallsAreCalledBack(t *testing.T) {
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -217,6 +217,9 @@
 		}
 		f.items = append(f.items, it)
 		f.due, f.firstEnd = max(f.due, patience), min(f.firstEnd, ends)
+		if by := x.clock(now + s.Within); s.Within > 0 && (f.call.LeaveBy.IsZero() || by.Before(f.call.LeaveBy)) {
+			f.call.LeaveBy = by
+		}
 	}
 	for _, f := range order {
 		f.due = min(f.due, f.firstEnd)
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -57,7 +57,8 @@
 	buf    []byte
 	trip   time.Duration // how long it took to open
 	moment time.Duration // before the last byte of a call, at least
-	since  time.Time     // idle since; zero until its first call is over
+	since  time.Time     // idle since
+	used   bool          // it has carried a call
 	next   *job          // guarded by the pool's lock
 }
 
@@ -67,6 +68,7 @@
 	mu     sync.Mutex
 	given  bool // up
 	out    bool // its last byte is written, or is being written
+	late   bool // the time in which it had to leave was over before that
 	nc     net.Conn
 	undial context.CancelFunc
 }
@@ -122,11 +124,13 @@
 	return !j.given
 }
 
-// commit is the point of no return, right before the last byte is written; it is false if the call has been given up before.
+// commit is the point of no return, right before the last byte is written; it is false if the call has been given up before, or
+// had to leave earlier.
 func (j *job) commit() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.out = !j.given
+	j.late = !j.call.LeaveBy.IsZero() && time.Now().After(j.call.LeaveBy)
+	j.out = !j.given && !j.late
 	return j.out
 }
 
@@ -272,10 +276,16 @@
 
 // finish ends a call that did not reach the endpoint.
 func (p *Pool) finish(j *job, o rules.Outcome) {
-	if j.givenUp() {
-		o = rules.Cancelled
+	r := exchange.ItemResult{Outcome: o}
+	j.mu.Lock()
+	switch {
+	case j.given:
+		r.Outcome = rules.Cancelled
+	case j.late:
+		r = exchange.ItemResult{Outcome: rules.NotSent, Recalled: true}
 	}
-	p.cfg.Finish(j.call, exchange.Result{Items: same(j.call, exchange.ItemResult{Outcome: o})})
+	j.mu.Unlock()
+	p.cfg.Finish(j.call, exchange.Result{Items: same(j.call, r)})
 }
 
 // park keeps a connection while it is idle. It returns the next call, nil if the connection is to be closed, and
@@ -316,7 +326,7 @@
 		}
 		j.limit(max(c.moment, min(c.trip, mostMoment)))
 		_, err := c.br.Peek(1)
-		if early := err == nil && c.since.IsZero(); !early && !errors.Is(err, os.ErrDeadlineExceeded) {
+		if early := err == nil && !c.used; !early && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false // broken, or with bytes of what came before; an early answer on a new one is this call's
 		}
 		j.limit(0)
@@ -374,7 +384,9 @@
 	if j.givenUp() {
 		lost = rules.Cancelled
 	}
-	p.cfg.Finish(j.call, exchange.Result{Written: true, Items: outcomes(j.call, resp, err, lost, c.since.IsZero())})
+	fresh := !c.used
+	c.used = true
+	p.cfg.Finish(j.call, exchange.Result{Written: true, Items: outcomes(j.call, resp, err, lost, fresh)})
 	if cap(c.buf) > maxKept {
 		c.buf = nil
 	}
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -871,3 +871,79 @@
 		}
 	})
 }
+
+// A call that had to leave by a certain time never reaches the endpoint after it, whatever held it up: its connection came up
+// late, its idle connection was dead, its last byte was held back. It ends as not sent, at no cost of an attempt.
+func TestTooLateToLeave(t *testing.T) {
+	for name, c := range map[string]struct{ idle, wary bool }{
+		"connecting": {}, "its idle connection is dead": {idle: true}, "before the last byte": {wary: true},
+	} {
+		ep, err := platform.NewEndpoint("127.0.0.1:0", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(ep.Close)
+		s := newSide(t, nil)
+		begun, up, dial := make(chan bool, 9), make(chan bool, 9), s.dial
+		s.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			begun <- true
+			<-up
+			return dial(ctx, network, address)
+		}
+		if c.idle {
+			up <- true
+			s.outcome(ep.Addr())
+			testkit.Next(t, begun, "connect")
+			testkit.Eventually(t, "idle", func() bool { return s.idleAt(ep.Addr()) == 1 })
+			s.mu.Lock()
+			s.idle[peer(ep.Addr())][0].since = time.Time{} // long past its time
+			s.mu.Unlock()
+		}
+		call := callTo(ep.Addr(), "b")
+		call.LeaveBy = time.Now().Add(50 * time.Millisecond)
+		if c.wary {
+			s.moment = 100 * time.Millisecond
+			s.reset.Store(time.Now().UnixMilli())
+			up <- true
+		}
+		s.Start(call)
+		testkit.Next(t, begun, "connect")
+		if !c.wary {
+			testkit.Eventually(t, "too late", func() bool { return time.Now().After(call.LeaveBy) })
+			up <- true
+		}
+		want := exchange.ItemResult{Outcome: rules.NotSent, Recalled: true}
+		if d := testkit.Next(t, s.done, "result"); d.Written || d.Items[0] != want {
+			t.Errorf("%s: %+v", name, d.Result)
+		}
+		s.reset.Store(0)
+		up <- true
+		if got, _ := s.outcome(ep.Addr()); got.Outcome != rules.OK || strings.Contains(fmt.Sprint(ep.Received()), "b") {
+			t.Errorf("%s: received %v, the next call %+v", name, ep.Received(), got)
+		}
+	}
+}
+
+// A connection kept after its call was given up before a byte of it was written is still a fresh one: a 503 that ends it turns
+// away the connection, not the call.
+func TestAnUnusedConnectionIsFresh(t *testing.T) {
+	srv := listen(t, func(*http1.Request, []byte) *http1.Response {
+		return &http1.Response{Status: 503, Close: true, Header: http1.Header{{Name: "Connection", Value: "close"}}}
+	})
+	s := newSide(t, nil)
+	begun, up, dial := make(chan bool, 9), make(chan bool, 9), s.dial
+	s.dial = func(_ context.Context, network, address string) (net.Conn, error) {
+		begun <- true
+		<-up
+		return dial(context.Background(), network, address)
+	}
+	h := s.Start(callTo(srv.Addr(), "a"))
+	testkit.Next(t, begun, "connect")
+	h.Cancel()
+	up <- true
+	testkit.Next(t, s.done, "result of the call given up")
+	testkit.Eventually(t, "kept", func() bool { return s.idleAt(srv.Addr()) == 1 })
+	if got, _ := s.outcome(srv.Addr()); got.Outcome != rules.ConnectError || !got.NoPlace {
+		t.Errorf("got %+v, want no place", got)
+	}
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -223,6 +223,7 @@
 	ID       MessageID
 	Endpoint EndpointID
 	Timeout  time.Duration // 0: until the client gives up
+	Within   time.Duration // it leaves whole within this time, or ends as NotSent, Recalled; 0: whenever its connection is there
 }
 
 // Refuse ends a message with the promise that trying again is harmless.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -234,7 +234,7 @@
 	if m.tries >= s.set.MaxAttempts || m.mayRun == never || m.class.Effect == Safe {
 		return m.tries >= s.set.MaxAttempts
 	}
-	return m.class.Effect != Keyed || s.now+s.set.Tick >= m.mayRun+m.class.Window
+	return m.class.Effect != Keyed || s.now+s.set.Tick >= m.windowEnd()
 }
 
 // maySend is the guard that every send passes; it holds the rules, whatever the plan says.
@@ -261,7 +261,7 @@
 func (s *Sender) keyHolds(m *message, ep *endpoint) bool {
 	at, scope := m.mayRunAt, m.class.Scope // at is nil if a process before this one sent it and it is unlisted
 	inScope := scope == ScopeDestination || at == ep || scope == ScopeZone && at != nil && at.zone == ep.zone
-	return m.mayRun == never || inScope && s.now+s.set.Tick < m.mayRun+m.class.Window
+	return m.mayRun == never || inScope && s.now+s.set.Tick < m.windowEnd()
 }
 
 // hasTurn tells whether a message is first of its key, with nothing of an earlier one still about.
@@ -273,7 +273,7 @@
 // send makes one call of the messages.
 func (s *Sender) send(ep *endpoint, msgs []*message) {
 	for _, a := range s.open(ep, msgs).attempts {
-		s.act(Send{ID: a.id, Endpoint: ep.id, Timeout: s.timeout(a.msg, ep)})
+		s.act(Send{ID: a.id, Endpoint: ep.id, Timeout: s.timeout(a.msg, ep), Within: s.windowLeft(a.msg)})
 	}
 	ep.lane.pace.onSend(s.now, s.set.Senders)
 	ep.charged = s.now
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -181,6 +181,38 @@
 	}
 }
 
+// A repeat has to leave within what is left of its key's window, as its connection may come up after it; a first attempt and a
+// class without a key leave whenever they can.
+func TestARepeatLeavesWithinItsWindow(t *testing.T) {
+	for class, bound := range []bool{safe: false, keyed: true, once: false} {
+		b := newBench(t, nil)
+		b.serve(20, safe, 11)
+		id, out := b.take(class)
+		first := sends(out)
+		if len(first) != 1 || first[0].Within != 0 {
+			t.Fatalf("class %d: first attempt %+v, want one that leaves whenever it can", class, first)
+		}
+		sent := b.now
+		b.now += sec
+		out = b.step(Ended{ID: id, Attempt: 0, Endpoint: first[0].Endpoint, Outcome: Reset, Elapsed: sec})
+		for again := sends(out); len(again) == 0; again = sends(out) {
+			if b.now += 5 * ms; b.now > sent+5*sec {
+				break // what may not be repeated
+			}
+			out = b.step(Woke{})
+		}
+		for _, again := range sends(out) {
+			left := b.s.set.Classes[keyed].Window - (b.now - sent) - b.s.set.Tick
+			if !bound && again.Within != 0 || bound && again.Within != left {
+				t.Errorf("class %d: the repeat has to leave within %v, left of the window are %v", class, again.Within, left)
+			}
+		}
+		if again := len(sends(out)); (again == 1) != (class != once) {
+			t.Errorf("class %d: %d repeats", class, again)
+		}
+	}
+}
+
 func TestKeyedScope(t *testing.T) {
 	entries := []Entry{{Endpoint: 11, Destination: 1, Zone: 0}, {Endpoint: 12, Destination: 1, Zone: 1},
 		{Endpoint: 13, Destination: 1, Zone: 0}}
--- a/rules/state.go
+++ b/rules/state.go
@@ -282,11 +282,22 @@
 	case len(m.out) == 0 && s.spent(m):
 		return s.now
 	case m.class.Effect == Keyed && m.mayRun != never && len(m.out) == 0:
-		return min(s.due(m), m.mayRun+m.class.Window-s.set.Tick)
+		return min(s.due(m), m.windowEnd()-s.set.Tick)
 	}
 	return s.due(m)
 }
 
+// windowEnd is when the destination may forget the key of a message that may have run.
+func (m *message) windowEnd() time.Duration { return m.mayRun + m.class.Window }
+
+// windowLeft is what is left of the window of a keyed message that may have run, 0 for one that is bound to none.
+func (s *Sender) windowLeft(m *message) time.Duration {
+	if m.class.Effect != Keyed || m.mayRun == never {
+		return 0
+	}
+	return m.windowEnd() - s.now - s.set.Tick
+}
+
 // dueHeap orders messages by deadline.
 type dueHeap []*message
 
