--- a/cmd/eiderhaven/endings_test.go
+++ b/cmd/eiderhaven/endings_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"eiderhaven/internal/http1"
 	"eiderhaven/internal/testkit"
@@ -97,3 +100,94 @@
 		})
 	}
 }
+
+// Idle clients that fill their part of the descriptors while discovery is down leave the rest what it needs: with as many
+// descriptors as the configuration allows, 32 at the least, discovery is heard when it is back, messages are taken on, sent, and told
+// of, and nothing fails for want of one.
+func TestIdleClientsLeaveDescriptors(t *testing.T) {
+	ep := newSilentEndpoint(t)
+	disc, err := platform.NewDiscovery("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(disc.Close)
+	p := placeAt(t, disc)
+	p.configure(func(c map[string]any) { c["limits"].(map[string]any)["sockets"] = fewSockets })
+	disc.Mute(true)
+	proc := p.launchBy("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, fewSockets), os.Args[0])
+	for range 100 { // each has been served once and rests
+		nc, err := net.Dial("tcp", p.listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		if _, err := io.WriteString(nc, "GET /health/live HTTP/1.1\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if r, err := http1.ReadResponse(bufio.NewReader(nc), 1<<16); err != nil || r.Status != 200 {
+			t.Fatalf("an idle client: %+v, %v", r, err)
+		}
+	}
+	var hosts []platform.Entry
+	for i := range 5 {
+		hosts = append(hosts, platform.Entry{Host: fmt.Sprint("s-", i), Dial: ep.Addr(), Site: "here", Class: "any", Block: 5 + i, Health: "Ready"})
+	}
+	disc.Set(hosts...)
+	disc.Mute(false)
+	testkit.Eventually(t, "taken on", func() bool {
+		r, err := p.ask(handIn("a", "payment", 300))
+		return err == nil && r.Status == 202
+	})
+	testkit.Next(t, ep.calls, "call")
+	testkit.Eventually(t, "told", func() bool { return p.notice("a") != "" })
+	for i := range 10 { // as many calls out as there are slots
+		text := strings.Replace(handIn(fmt.Sprint("b", i), "payment", 16000), "dest=7", fmt.Sprint("dest=", 5+i%5), 1)
+		if r, err := p.ask(text); err != nil || r.Status != 202 {
+			t.Fatalf("message %d: %+v, %v", i, r, err)
+		}
+		testkit.Next(t, ep.calls, "call")
+	}
+	testkit.Eventually(t, "counters", func() bool {
+		proc.Process.Signal(syscall.SIGUSR1)
+		return strings.Contains(proc.said(), "exchange.no_connection=")
+	})
+	if n := field(t, proc.said(), `exchange.no_connection=(\d+)`); n > 0 {
+		t.Errorf("%d calls had no connection", n)
+	}
+	if log := proc.said(); strings.Contains(log, "could not be accepted") || strings.Contains(log, "too many open files") {
+		t.Errorf("out of descriptors:\n%s", log)
+	}
+}
+
+func TestShareOfDescriptors(t *testing.T) {
+	for _, c := range []struct{ sockets, slots, clients, calls int }{{32, 10, 10, 10}, {32, 3, 10, 6}, {32, 100, 10, 10}, {512, 13, 250, 166}} {
+		if clients, calls := share(c.sockets, c.slots); clients != c.clients || calls != c.calls || clients+calls+ownFiles > c.sockets {
+			t.Errorf("%d descriptors, %d slots: %d clients and %d calls, want %d and %d", c.sockets, c.slots, clients, calls, c.clients, c.calls)
+		}
+	}
+}
+
+// A second word to end changes nothing: the sender goes on serving for its time, and ends by itself within the platform's.
+func TestToldToEndTwice(t *testing.T) {
+	ep := newSilentEndpoint(t)
+	disc, err := platform.NewDiscovery("127.0.0.1:0",
+		platform.Entry{Host: "s-1", Dial: ep.Addr(), Site: "here", Class: "any", Block: 7, Health: "Ready"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(disc.Close)
+	p := placeAt(t, disc)
+	proc := p.launch()
+	p.handIn("held", "payment", 16000)
+	testkit.Next(t, ep.calls, "call")
+	begun := time.Now()
+	proc.Process.Signal(syscall.SIGTERM)
+	testkit.Eventually(t, "draining", func() bool { return strings.Contains(proc.said(), "phase name=n1 is=draining") })
+	proc.Process.Signal(syscall.SIGTERM)
+	proc.Process.Signal(syscall.SIGINT)
+	p.handIn("after", "stock", 16000)
+	testkit.Next(t, ep.calls, "call of what came after")
+	if code, took := proc.exit(), time.Since(begun); code != 0 || took < drainFor || took > 3700*time.Millisecond {
+		t.Errorf("ended after %v with code %d, want 0 between %v and the platform's 3.7 s", took, code, drainFor)
+	}
+}
--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -89,15 +89,30 @@
 	s.where = registry.NewAddress(cfg.discovery)
 	s.registry = registry.New(s.where, cfg.names, log)
 	s.notices = registry.NewNotices(s.where, log)
+	clients, calls := share(cfg.sockets, cfg.settings.Slots)
 	s.pool = outbound.New(outbound.Config{ConnectTimeout: cfg.settings.ConnectTimeout, KeepAlive: cfg.settings.KeepAlive,
-		MaxConns: cfg.sockets / 3, Finish: func(c *exchange.Call, r exchange.Result) { s.exchange.Finish(c, r) }})
+		MaxConns: calls, Finish: func(c *exchange.Call, r exchange.Result) { s.exchange.Finish(c, r) }})
 	s.exchange = exchange.New(exchange.Config{Settings: cfg.settings, Classes: cfg.names.Classes,
 		Tenants: cfg.names.Tenants, Known: cfg.known, Ledger: led, Caller: s.pool, Platform: platformSides{s.notices, s.registry.Watch}, Log: log})
 	s.intake = intake.New(intake.Config{Exchange: s.exchange, Ready: s.isReady, Classes: cfg.names.Classes,
-		MaxConns: cfg.sockets / 2, Slow: slowClient, Idle: idleClient, Log: log})
+		MaxConns: clients, Slow: slowClient, Idle: idleClient, Log: log})
 	return s, nil
 }
 
+// ownFiles is what a sender opens beside the connections to clients and endpoints: standard streams, the runtime's poller (2),
+// the listener and a connection that was accepted and has no room yet, two ledger segments at a change, the
+// connections to discovery and for notices, and one of them anew while the old one closes.
+const ownFiles = 12
+
+// share divides the descriptors: half of what the sender does not need itself to clients, a third to endpoints, but to them no
+// fewer than calls may be out, as far as that half leaves them. No client, busy or idle, takes what discovery, notices
+// and the ledger need.
+func share(sockets, slots int) (clients, calls int) {
+	rest := sockets - ownFiles
+	clients = rest / 2
+	return clients, max(rest/3, min(slots, rest-clients))
+}
+
 func (s *service) enter(p phase) {
 	s.phase.Store(int32(p))
 	s.log.Info("phase", "is", p)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -192,7 +192,16 @@
 		before.Ago, before.At = max(0, time.Since(o.At)), x.dir.ids[o.Host]
 	}
 	x.events = append(x.events, rules.Arrived{ID: rules.MessageID(m.ID), Destination: m.Dest, Class: class,
-		Tenant: x.tenants[m.Tenant], TimeLeft: time.Until(m.Deadline), Before: before})
+		Tenant: x.tenant(m.Tenant), TimeLeft: time.Until(m.Deadline), Before: before})
+}
+
+// tenant is the module's number for a tenant: beyond all of them for a message that names none of the settings', which has no
+// part in anybody's share.
+func (x *Exchange) tenant(name string) int {
+	if i, known := x.tenants[name]; known {
+		return i
+	}
+	return len(x.cfg.Tenants)
 }
 
 // now is the module's clock.
@@ -236,6 +245,7 @@
 		if h := x.held[id]; h != nil {
 			x.counts.Withdrawn++
 			x.over(h)
+			x.recall(carries(h.msg)) // nothing may reach an endpoint from now on
 			x.events = append(x.events, rules.Withdrawn{ID: rules.MessageID(id)})
 		}
 	})
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -361,6 +361,34 @@
 	}
 }
 
+// What a client withdraws before anything of its call is written never reaches an endpoint; the others of the call go out again
+// without it. A call that is written goes on for them.
+func TestWithdrawnBeforeItIsWritten(t *testing.T) {
+	for _, written := range []bool{false, true} {
+		w := newWorld(t, t.TempDir(), nil)
+		w.ends.onRecall = func(*Call) bool { return !written }
+		w.Recover()
+		w.offer(3, 15*time.Second)
+		c := testkit.Next(t, w.ends.started, "call")
+		w.Withdraw("m1")
+		w.drain()
+		w.later(time.Second)
+		w.step()
+		if n := len(w.ends.recalled); n != 1 || <-w.ends.recalled != c {
+			t.Errorf("written %v: %d calls to be called back, want the one", written, n)
+		}
+		if written {
+			if len(w.ends.started)+len(w.ends.cancelled) != 0 || w.snapshot().Out != 3 {
+				t.Errorf("written: the call does not go on: %+v", w.snapshot())
+			}
+		} else if again := testkit.Next(t, w.ends.started, "second call"); len(again.Items) != 2 || again.Items[0].ID == "m1" || again.Items[1].ID == "m1" {
+			t.Errorf("%d messages go out again, want the two others", len(again.Items))
+		}
+		w.addUp(w.snapshot())
+		w.led.Close()
+	}
+}
+
 // At the end a call that no endpoint has got whole yet is called back: the next process finds its message untried and may try it,
 // whatever its class. One that is written may have run.
 func TestStopCallsBackWhatIsNotWritten(t *testing.T) {
@@ -700,6 +728,16 @@
 	}
 }
 
+// A message whose tenant the settings lack is nobody's, not the first one's.
+func TestUnknownTenant(t *testing.T) {
+	x := New(Config{Settings: testSettings(), Tenants: []string{"a", "b"}})
+	for name, want := range map[string]int{"a": 0, "b": 1, "": 2, "c": 2} {
+		if got := x.tenant(name); got != want {
+			t.Errorf("%q is tenant %d, want %d", name, got, want)
+		}
+	}
+}
+
 func TestCountersAreNamed(t *testing.T) {
 	text := Counts{In: 3, Outcomes: [rules.NotSent + 1]int{rules.Full: 2}}.LogValue().String()
 	for _, want := range []string{"in=3", "full=2", "delivered=0", "not_sent=0"} {
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// carries means the call that holds a message.
+func carries(m *message.Message) func(*flight) bool {
+	return func(f *flight) bool {
+		return slices.ContainsFunc(f.items, func(it item) bool { return it.msg == m })
+	}
+}
+
 // take takes in a message, unless it cannot be kept.
 func (x *Exchange) take(m *message.Message, reply chan Answer) {
 	x.counts.In++
@@ -62,7 +69,7 @@
 	x.held[m.ID] = h
 	x.fresh = append(x.fresh, h)
 	x.events = append(x.events, rules.Arrived{ID: rules.MessageID(m.ID), Destination: m.Dest, Class: class,
-		Tenant: x.tenants[m.Tenant], TimeLeft: time.Until(m.Deadline)})
+		Tenant: x.tenant(m.Tenant), TimeLeft: time.Until(m.Deadline)})
 }
 
 func (x *Exchange) retryAfter(d time.Duration) time.Duration {
@@ -167,9 +174,7 @@
 }
 
 func (x *Exchange) tell(h *held, n ledger.Notice) {
-	x.giveUpAll(rules.TimedOut, func(f *flight) bool { // nothing may reach an endpoint from now on
-		return slices.ContainsFunc(f.items, func(it item) bool { return it.msg == h.msg })
-	})
+	x.giveUpAll(rules.TimedOut, carries(h.msg)) // nothing may reach an endpoint from now on
 	x.drop(h)
 	x.record(x.cfg.Ledger.Tell(n))
 	x.cfg.Platform.Tell(n)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -890,17 +890,16 @@
 	return c.Worth * (1 - (1-c.LateWorth)*(age-c.Aim).Seconds()/max((c.Deadline-c.Aim).Seconds(), 1e-3))
 }
 
-// tenantWeight discounts a tenant by the part of its recent traffic that seems beyond its share. A sender
-// sees only its own traffic, so it goes by proportions.
+// tenantWeight discounts a tenant by what seems beyond its share, in proportion to the sender's own traffic.
 func (s *Sender) tenantWeight(t int) float64 {
-	if t >= len(s.arrivals) {
+	if len(s.arrivals) == 0 || s.quotas <= 0 {
 		return 1
 	}
-	mine, all := s.arrivals[t].perSecond(s.now, deliveredMemory), s.total.perSecond(s.now, deliveredMemory)
-	if mine <= 0 || s.quotas <= 0 {
-		return 1
+	within := 0.0
+	if t < len(s.arrivals) { // else no tenant's: it has no share
+		mine, all := s.arrivals[t].perSecond(s.now, deliveredMemory), s.total.perSecond(s.now, deliveredMemory)
+		within = min(1, s.set.Tenants[t].Quota/s.quotas*all/max(mine, 1e-9))
 	}
-	within := min(1, s.set.Tenants[t].Quota/s.quotas*all/mine)
 	return within + (1-within)*s.set.OverShareWorth
 }
 
