--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -25,7 +25,7 @@
 // lost after it; or one that began just before discovery could be reached again, at the longest limit; or a watch whose answer
 // began and then dribbles. What is over those sums has the pauses between.
 const (
-	watchWait  = 2 * time.Second
+	watchWait  = 1500 * time.Millisecond
 	watchGrace = 500 * time.Millisecond // past the wait, until its answer begins
 	startBegin = 2 * time.Second        // until the answer to a call for the whole list begins, the connecting included: at the start,
 	leastBegin = time.Second            // later at least, or twice what the last one took,
