What an endpoint accepts in the last moment of a message's time is told of as well

Cause: ended() (internal/exchange/step.go) took any 200 for the end. The platform's time runs from the client's sending and does not count what comes after it; the call is given up in the next step only. Ruled out on the traces: late giving up (70 calls, 2 ms at most), withdrawn messages, notices late or not accepted, messages without an end; a late end of calls of several was the first guess and is refuted by that.

Change: in the last 50 ms (the protocol's slack, for the way from the client) or later a delivered message gets its notice too, which does no harm where it is over. Test: TestAcceptedInTheLastMoment ("0 notices, want 1" without it).

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -519,6 +519,30 @@
 	w.settled("told", func(c Counts) bool { return c.Outcomes[rules.OK] == 1 && c.Out == 0 })
 }
 
+// An endpoint's 200 that comes as the message's time runs out, or after it and before the step that would give it up, counts and is
+// told of as well; one before that needs no notice.
+func TestAcceptedInTheLastMoment(t *testing.T) {
+	for left, told := range map[time.Duration]int{200 * time.Millisecond: 0, lastMoment / 2: 1, 0: 1, -3 * time.Millisecond: 1} {
+		w := newWorld(t, t.TempDir(), nil)
+		w.Recover()
+		m := msg("a", "payment", 1)
+		w.Exchange.take(m, make(chan Answer, 1))
+		w.step()
+		c := testkit.Next(t, w.ends.started, "call")
+		m.Deadline = time.Now().Add(left)
+		w.finished(c.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.OK}}})
+		w.step()
+		if got := w.snapshot(); len(w.plat.told) != told || got.Delivered != 1 || got.Held != 0 || got.Out != 0 {
+			t.Errorf("with %v left: %d notices, want %d; counters %+v", left, len(w.plat.told), told, got)
+		}
+		if owed := len(w.owed()) + len(w.led.Notices()); owed != told {
+			t.Errorf("with %v left: the ledger owes %d ends, want %d", left, owed, told)
+		}
+		w.addUp(w.snapshot())
+		w.led.Close()
+	}
+}
+
 // A message over by the endpoint's word (410) needs no notice; one past its attempts (504) does.
 func TestOverElsewhere(t *testing.T) {
 	w := begin(t, nil)
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -344,7 +344,7 @@
 	case over:
 	case r.Outcome == rules.OK:
 		x.counts.Delivered++
-		x.over(h)
+		x.delivered(h)
 		over = true
 	case r.Over:
 		x.counts.Elsewhere++
@@ -357,6 +357,22 @@
 		Outcome: r.Outcome, Elapsed: x.now() - f.sent, Over: over, Wait: r.Wait, NoSlot: r.NoSlot, NoPlace: r.NoPlace, Recalled: r.Recalled, Report: r.Report})
 }
 
+// delivered ends a message that an endpoint has accepted. One accepted as its time ran out, or after it and before the step that
+// would have given it up, is told of as well: the platform counts its time from when the client sent it, and an answer that was
+// late by that is no end; a notice of what is over does no harm. Guards against a message that each side takes for ended by
+// the other; it costs a notice, and tells a client of doubt where the answer was just in time.
+func (x *Exchange) delivered(h *held) {
+	if time.Until(h.msg.Deadline) > lastMoment {
+		x.over(h)
+		return
+	}
+	x.tell(h, ledger.Notice{ID: h.msg.ID, Dead: true})
+}
+
+// lastMoment is how far the platform's clock for a message may be ahead of this one's, which starts as the request is read: the slack
+// that the protocol gives every limit.
+const lastMoment = 50 * time.Millisecond
+
 // failed tells whether a result speaks of an endpoint in trouble rather than of a limit or a full table.
 func failed(r ItemResult) bool {
 	return r.Outcome.MayRun() || r.Outcome == rules.ConnectError && !r.NoPlace
