--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -20,11 +20,9 @@
 	ep     rules.EndpointID
 	sent   time.Duration
 	items  []item
-
-	firstEnd time.Duration // when the time of the first of its messages is up
-	due      time.Duration // when waiting for it ends: then, or after its longest time-out
-	quit     bool          // it is given up
-	ends     rules.Outcome // and why
+	due    time.Duration // when waiting for it ends: with the first of its messages' time, or after its longest time-out
+	quit   bool          // it is given up
+	ends   rules.Outcome // and why
 }
 
 // item is one attempt of a call.
@@ -205,30 +203,27 @@
 			continue
 		}
 		host := x.dir.hosts[s.Endpoint]
-		ends := now + time.Until(h.msg.Deadline)
-		patience := ends
+		patience := time.Until(h.msg.Deadline)
 		if s.Timeout > 0 {
-			patience = min(ends, now+s.Timeout)
+			patience = min(patience, s.Timeout)
 		}
 		it := item{msg: h.msg, num: h.attempts}
 		h.attempts++
 		x.counts.Attempts++
 		f := open[s.Endpoint]
 		if f == nil || len(f.items) >= x.batch(host.Kind) {
-			f = &flight{ep: s.Endpoint, sent: now, due: patience, firstEnd: ends, call: &Call{To: host.Peer}}
+			f = &flight{ep: s.Endpoint, sent: now, call: &Call{To: host.Peer}}
 			f.call.flight = f
 			open[s.Endpoint] = f
 			order = append(order, f)
 		}
 		f.items = append(f.items, it)
-		f.due, f.firstEnd = max(f.due, patience), min(f.firstEnd, ends)
+		f.call.Waiting = max(f.call.Waiting, patience)
 		if by := x.clock(now + s.Within); s.Within > 0 && (f.call.LeaveBy.IsZero() || by.Before(f.call.LeaveBy)) {
 			f.call.LeaveBy = by
 		}
 	}
 	for _, f := range order {
-		f.due = min(f.due, f.firstEnd)
-		f.call.Waiting = f.due - f.sent
 		x.start(f)
 	}
 }
@@ -248,9 +243,11 @@
 	misrouted := host.Dial == ""
 	for _, it := range f.items {
 		f.call.Items = append(f.call.Items, it.msg)
+		f.call.Waiting = min(f.call.Waiting, time.Until(it.msg.Deadline))
 		ids, nums = append(ids, it.msg.ID), append(nums, it.num)
 		misrouted = misrouted || it.msg.Dest != host.Dest
 	}
+	f.due = f.sent + f.call.Waiting
 	if misrouted {
 		x.cfg.Log.Error("a call to an endpoint of another destination was held back", "endpoint", host.Name)
 	}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -86,7 +86,6 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(limit.begin, func() { cancel(os.ErrDeadlineExceeded) })
-	defer timer.Stop()
 	defer context.AfterFunc(at.stay, func() { cancel(errMoved) })()
 	begun := func() {
 		if timer.Stop() {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -457,7 +457,7 @@
 
 // succeeded takes an answer. In probation only one to a call sent since it began starts the ramp: older ones
 // may be of before. So does one after failures that lasted: few senders see enough for probation. Guards
-// against a fleet whose backlogs leave together; two chance failures cost a ramp.
+// against a fleet whose backlogs leave together; three chance failures cost a ramp.
 func (s *Sender) succeeded(c *call, elapsed time.Duration) {
 	ep, sent, v := c.ep, c.sent, c.service()
 	s.proven[ep.kind]++
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -105,15 +105,20 @@
 	s.serve(nc)
 }
 
+// Read reads one whole request.
+func Read(br *bufio.Reader) (req *http1.Request, body []byte, err error) {
+	if req, err = http1.ReadRequest(br); err != nil {
+		return nil, nil, err
+	}
+	body, err = http1.ReadBody(br, req.Length)
+	return req, body, err
+}
+
 // serve answers requests until the connection ends.
 func (handle Handler) serve(nc net.Conn) {
 	br := bufio.NewReader(nc)
 	for {
-		req, err := http1.ReadRequest(br)
-		if err != nil {
-			return
-		}
-		body, err := http1.ReadBody(br, req.Length)
+		req, body, err := Read(br)
 		if err != nil {
 			return
 		}
