A message's time is one for the module and the exchange: nothing goes out as it ends

Seen: TestACallEndsWithTheFirstOfItsMessages on a busy machine, once: the second call held the message whose time was just up. Cause: rules.Arrived.TimeLeft was taken at the arrival and counted from the step, up to a tick later; the exchange gave the call up by the real time, and the module, with milliseconds left, sent the message again. Now the step fills in what is left by its own now, and calls end by the same clock (moment). Test: TestNothingGoesOutAsItsTimeEnds ("1 calls after its time and 0 notices" without it).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -192,7 +192,7 @@
 		before.Ago, before.At = max(0, time.Since(o.At)), x.dir.ids[o.Host]
 	}
 	x.events = append(x.events, rules.Arrived{ID: rules.MessageID(m.ID), Destination: m.Dest, Class: class,
-		Tenant: x.tenant(m.Tenant), TimeLeft: time.Until(m.Deadline), Before: before})
+		Tenant: x.tenant(m.Tenant), Before: before})
 }
 
 // tenant is the module's number for a tenant: beyond all of them for a message that names none of the settings', which has no
@@ -207,8 +207,9 @@
 // now is the module's clock.
 func (x *Exchange) now() time.Duration { return clockStart + time.Since(x.started) }
 
-// clock is a time of the module's on this machine's clock.
-func (x *Exchange) clock(at time.Duration) time.Time { return x.started.Add(at - clockStart) }
+// clock is a time of the module's on this machine's clock, and moment the other way round.
+func (x *Exchange) clock(at time.Duration) time.Time  { return x.started.Add(at - clockStart) }
+func (x *Exchange) moment(at time.Time) time.Duration { return clockStart + at.Sub(x.started) }
 
 // post hands the exchange something to do; it is false if the exchange has ended.
 func (x *Exchange) post(f func()) bool {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -491,6 +491,27 @@
 	w.settled("told", func(c Counts) bool { return c.Outcomes[rules.OK] == 1 && c.Out == 0 })
 }
 
+// A message that waited for its step has that much less time by the module's clock too: as its call is given up it has ended, and
+// does not go out once more.
+func TestNothingGoesOutAsItsTimeEnds(t *testing.T) {
+	w := newWorld(t, t.TempDir(), nil)
+	w.Recover()
+	m := msg("a", "stock", 1)
+	m.Deadline = time.Now().Add(100 * time.Millisecond)
+	w.Exchange.take(m, make(chan Answer, 1))
+	testkit.Eventually(t, "half its time", func() bool { return time.Until(m.Deadline) < 50*time.Millisecond })
+	w.step()
+	c := testkit.Next(t, w.ends.started, "call")
+	testkit.Eventually(t, "all of it", func() bool { return time.Until(m.Deadline) < 0 })
+	w.step()
+	w.finished(c.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.Cancelled}}})
+	w.step()
+	if n, told := len(w.ends.started), len(w.plat.told); n != 0 || told != 1 {
+		t.Errorf("%d calls after its time and %d notices, want none and one", n, told)
+	}
+	w.led.Close()
+}
+
 // An endpoint's 200 that comes as the message's time runs out, or after it and before the step that would give it up, counts and is
 // told of as well; one before that needs no notice.
 func TestAcceptedInTheLastMoment(t *testing.T) {
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -67,7 +67,7 @@
 	x.held[m.ID] = h
 	x.fresh = append(x.fresh, h)
 	x.events = append(x.events, rules.Arrived{ID: rules.MessageID(m.ID), Destination: m.Dest, Class: class,
-		Tenant: x.tenant(m.Tenant), TimeLeft: time.Until(m.Deadline)})
+		Tenant: x.tenant(m.Tenant)})
 }
 
 func (x *Exchange) retryAfter(d time.Duration) time.Duration {
@@ -87,6 +87,12 @@
 	}
 	events := x.events
 	x.events, x.since = nil, -1
+	for i, e := range events { // time has passed since: else the module takes a message for alive when its call has been given up
+		if a, arrived := e.(rules.Arrived); arrived && x.held[string(a.ID)] != nil {
+			a.TimeLeft = x.moment(x.held[string(a.ID)].msg.Deadline) - now
+			events[i] = a
+		}
+	}
 	actions := x.sender.Step(now, events)
 	x.lastStep = now
 	var sends []rules.Send
@@ -203,7 +209,7 @@
 			continue
 		}
 		host := x.dir.hosts[s.Endpoint]
-		patience := time.Until(h.msg.Deadline)
+		patience := x.moment(h.msg.Deadline) - now
 		if s.Timeout > 0 {
 			patience = min(patience, s.Timeout)
 		}
@@ -243,7 +249,7 @@
 	misrouted := host.Dial == ""
 	for _, it := range f.items {
 		f.call.Items = append(f.call.Items, it.msg)
-		f.call.Waiting = min(f.call.Waiting, time.Until(it.msg.Deadline))
+		f.call.Waiting = min(f.call.Waiting, x.moment(it.msg.Deadline)-f.sent)
 		ids, nums = append(ids, it.msg.ID), append(nums, it.num)
 		misrouted = misrouted || it.msg.Dest != host.Dest
 	}
