After a restart in a crowd the pause goes by all that came back, not by the first of it

Seen by a test of the module: 7 of 8 messages that a restart found untried had no call in 12 s of time left, where the first one that came back had failed attempts. Cause: recall ran once for each message as it came in, so the first made the pause, by its own rate, and the others found the endpoint on probation already. Step now takes all in and recalls then; TestUntriedIsTriedAfterARestart fails without it.

--- a/cmd/eiderhaven/endings_test.go
+++ b/cmd/eiderhaven/endings_test.go
@@ -169,20 +169,35 @@
 	}
 }
 
-// A second word to end changes nothing: the sender goes on serving for its time, and ends by itself within the platform's.
+// A second word to end changes nothing: the sender goes on serving for its time, and ends by itself within the platform's. One
+// that is told to end before it is ready, as discovery does not answer, gets ready, finds what it owes, and ends in order.
 func TestToldToEndTwice(t *testing.T) {
 	p, ep := silentPlace(t)
 	proc := p.launch()
-	p.handIn("held", "payment", 16000)
+	p.handIn("held", "payment", 60000)
 	testkit.Next(t, ep.calls, "call")
 	begun := time.Now()
 	proc.Process.Signal(syscall.SIGTERM)
 	testkit.Eventually(t, "draining", func() bool { return strings.Contains(proc.said(), "phase name=n1 is=draining") })
 	proc.Process.Signal(syscall.SIGTERM)
 	proc.Process.Signal(syscall.SIGINT)
-	p.handIn("after", "stock", 16000)
+	p.handIn("after", "stock", 60000)
 	testkit.Next(t, ep.calls, "call of what came after")
 	if code, took := proc.exit(), time.Since(begun); code != 0 || took < drainFor || took > exitBy+2*time.Second { // of a busy machine
 		t.Errorf("ended after %v with code %d, want 0 between %v and %v", took, code, drainFor, exitBy)
 	}
+
+	p.disc.Mute(true)
+	proc = p.startBy(os.Args[0])
+	testkit.Eventually(t, "recovering", func() bool { return strings.Contains(proc.said(), "phase name=n1 is=recovering") })
+	proc.Process.Signal(syscall.SIGTERM)
+	if code := proc.exit(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	for _, want := range []string{"owed=2", "is=ready", "is=draining", "is=stopped"} {
+		if !strings.Contains(proc.said(), want) {
+			t.Errorf("told to end while recovering, no word of %q:\n%s", want, proc.said())
+		}
+	}
+	testkit.Eventually(t, "told of the payment that may have run", func() bool { return strings.Contains(p.notice("held"), "dead") })
 }
--- a/cmd/eiderhaven/main_test.go
+++ b/cmd/eiderhaven/main_test.go
@@ -130,6 +130,17 @@
 
 // launchBy does so by a command that becomes the sender.
 func (p *place) launchBy(command ...string) *process {
+	p.t.Helper()
+	proc := p.startBy(command...)
+	testkit.Eventually(p.t, "ready", func() bool {
+		r, err := p.ask("GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n")
+		return err == nil && r.Status == 200
+	})
+	return proc
+}
+
+// startBy starts a sender and does not wait for it.
+func (p *place) startBy(command ...string) *process {
 	p.t.Helper()
 	proc := &process{Cmd: exec.Command(command[0], command[1:]...), t: p.t, done: make(chan error, 1)}
 	proc.Env = append(os.Environ(), "EIDERHAVEN_TEST_PROCESS=1", "GORACE=atexit_sleep_ms=0", "LB_CONFIG="+p.config, "LB_STATE="+p.state)
@@ -139,10 +150,6 @@
 	}
 	go func() { proc.done <- proc.Wait() }()
 	p.t.Cleanup(func() { proc.Process.Kill() })
-	testkit.Eventually(p.t, "ready", func() bool {
-		r, err := p.ask("GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n")
-		return err == nil && r.Status == 200
-	})
 	return proc
 }
 
@@ -557,8 +564,19 @@
 	if err := os.WriteFile(p.config, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	mute, err := platform.ListenRaw("127.0.0.1:0", func(nc net.Conn) { io.Copy(io.Discard, nc) }) // never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	p.configure(func(c map[string]any) { c["discovery"] = mute.Addr() })
+	proc.Process.Signal(syscall.SIGHUP)
+	testkit.Eventually(t, "asks where nobody answers", func() bool { return mute.Open() > 0 })
+	p.handIn("meanwhile", "stock", 16000)
+	testkit.Eventually(t, "delivered by the old list", func() bool { return p.calls("meanwhile") == 1 })
 	p.configure(func(c map[string]any) { c["discovery"] = second.Addr() })
 	proc.Process.Signal(syscall.SIGHUP)
+	proc.Process.Signal(syscall.SIGHUP)
 	testkit.Eventually(t, "gone from the old address", func() bool { return second.Opened() > 0 && p.disc.Open() == 0 })
 	testkit.Eventually(t, "delivered by the new list", func() bool {
 		p.handIn(fmt.Sprint("after-", time.Now().UnixNano()), "stock", 16000)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -789,8 +789,10 @@
 
 // The names of ended messages are kept for a while and bounded in number.
 func TestPast(t *testing.T) {
-	var p past
-	now := time.Now()
+	p, now := newPast(nil), time.Now()
+	if long := newPast([]rules.Class{{Deadline: time.Second}, {Deadline: 30 * time.Second}}); p.keep != pastFor || long.keep != 30*time.Second {
+		t.Errorf("kept %v without classes and %v with one of 30 s", p.keep, long.keep)
+	}
 	for i := range 3 * pastMost {
 		p.add(fmt.Sprint(i), now)
 	}
--- a/internal/exchange/past.go
+++ b/internal/exchange/past.go
@@ -2,11 +2,14 @@
 
 package exchange
 
-import "time"
+import (
+	"time"
 
-// A name is kept for so long after its message has ended, and so many at most: whoever hands it in again within that
-// time hands in the same message, which may have run. A client waits 0.4 s for its answer and messages last seconds;
-// beyond that a name is a new one.
+	"eiderhaven/rules"
+)
+
+// A name is kept after its message has ended for as long as a message of any class may last, 15 s at least, and so many at
+// most: whoever hands it in again within that time hands in the same message, which may have run. Beyond it a name is a new one.
 const (
 	pastFor  = 15 * time.Second
 	pastMost = 16384
@@ -14,20 +17,26 @@
 
 // past knows the names of messages that have ended lately.
 type past struct {
+	keep  time.Duration
 	ended map[string]time.Time
 	queue []string // oldest first
 }
 
+func newPast(classes []rules.Class) past {
+	p := past{keep: pastFor, ended: map[string]time.Time{}}
+	for _, c := range classes {
+		p.keep = max(p.keep, c.Deadline)
+	}
+	return p
+}
+
 func (p *past) has(id string, now time.Time) bool {
 	at, known := p.ended[id]
-	return known && now.Sub(at) < pastFor
+	return known && now.Sub(at) < p.keep
 }
 
 func (p *past) add(id string, now time.Time) {
-	if p.ended == nil {
-		p.ended = map[string]time.Time{}
-	}
-	for len(p.queue) > 0 && (len(p.queue) >= pastMost || now.Sub(p.ended[p.queue[0]]) >= pastFor) {
+	for len(p.queue) > 0 && (len(p.queue) >= pastMost || now.Sub(p.ended[p.queue[0]]) >= p.keep) {
 		delete(p.ended, p.queue[0])
 		p.queue = p.queue[1:]
 	}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -247,17 +247,22 @@
 		}
 		to := j.call.To
 		if !p.do(c, j) {
-			c.nc.Close()
+			c.end()
 			return
 		}
 		var sound bool
 		if j, sound = p.park(c, to); !sound {
-			c.nc.Close()
+			c.end()
 			c = nil // nothing of the next call was written yet: it gets a fresh one
 		}
 	}
 }
 
+// end is the one way in which a connection to an endpoint ends: closed at once, with or without a reset. Nothing is owed to an
+// endpoint; a call that is out is given up by it, and what lies unread, half a line or an answer on its way, is lost on purpose
+// (answer has looked once more by then). It must not be called before the call that the connection carries has its result.
+func (c *conn) end() { c.nc.Close() }
+
 // connect opens a connection for a call; where it cannot, the call ends here.
 func (p *Pool) connect(j *job) *conn {
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.ConnectTimeout)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -144,6 +144,11 @@
 	for _, e := range events {
 		s.handle(e)
 	}
+	for _, e := range events {
+		if a, arrived := e.(Arrived); arrived {
+			s.recall(a) // by all that has come: the first alone makes a rate that outlasts the others
+		}
+	}
 	if s.now >= s.watchAt {
 		s.watchAt = never
 		s.act(Watch{})
@@ -163,7 +168,6 @@
 	switch e := e.(type) {
 	case Arrived:
 		s.take(e)
-		s.recall(s.destination(e.Destination), e.Before)
 	case Withdrawn:
 		s.forget(s.held[e.ID])
 	case Ending:
@@ -183,8 +187,7 @@
 	}
 }
 
-// end gives the final answer, the only place that does: a refusal where trying again is harmless, else a
-// failure.
+// end gives the final answer, the only place that does: a refusal where a new try is harmless, else a Fail.
 func (s *Sender) end(m *message) {
 	if s.mayRefuse(m) {
 		s.act(Refuse{ID: m.id, RetryAfter: s.advice(m.dest)})
@@ -508,8 +511,7 @@
 }
 
 // turnedAway takes the word that an endpoint holds all the connections it can, which is no failure: it serves
-// who has one, and each call frees a place. Guards against a crowd that knocks all the time; may be late for
-// a place. A call's time is the unit, doubled with each knock.
+// who has one, and calls free places. Guards against a crowd that knocks all the time; may be late for one.
 func (s *Sender) turnedAway(ep *endpoint) {
 	s.proven[ep.kind] = startOpen - provenOpen
 	ep.knocks = min(ep.knocks+1, failStreak)
@@ -548,9 +550,10 @@
 
 // recall takes over an earlier process's failures at a destination, or a crowd that restarts during an outage
 // sends all that it owes as it ends. Too careful where single attempts fail all the time.
-func (s *Sender) recall(d *destination, b Before) {
+func (s *Sender) recall(a Arrived) {
+	d := s.destination(a.Destination)
 	for _, ep := range d.endpoints {
-		if fails := min(b.Failed, failStreak); s.set.Senders > crowd && fails > ep.fails {
+		if fails := min(a.Before.Failed, failStreak); s.set.Senders > crowd && fails > ep.fails {
 			ep.fails = fails
 			d.retryAt = max(d.retryAt, s.now+s.pause(ep))
 		}
@@ -668,8 +671,7 @@
 }
 
 // yieldConnections closes connections as they fall idle in a crowd, until connects are proven at a kind: idle
-// ones fill tables, and who holds one is never turned away. Costs handshakes. A connect without any answer
-// tells of an outage, not of a table. With calls out, an idle one may be in use again already.
+// ones fill tables, and holders are never turned away. Costs handshakes. With calls out, one may be in use.
 func (s *Sender) yieldConnections() {
 	for _, ep := range s.idled {
 		if s.crowded(ep) && len(ep.calls) == 0 {
@@ -918,8 +920,8 @@
 }
 
 // handBack answers at once, with when to come again, what cannot be sent in time: a told wait of all listed
-// endpoints lasts longer or, in a crowd, all are on probation or ramp here: another sender may be well there.
-// Guards against messages kept to their end where nothing can become of them; loses what clients give up.
+// endpoints lasts longer or, in a crowd, all are on probation or ramp here: others may be well there.
+// Guards against messages kept for nothing; loses what clients give up.
 func (s *Sender) handBack() {
 	halted := func(ep *endpoint) time.Duration { return ep.lane.pace.haltUntil }
 	for _, d := range slices.Clone(s.waiting) {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1296,6 +1296,27 @@
 	}
 }
 
+// What a restart finds untried is tried within its time, though another message of the destination comes back with failures: the
+// pause that they bring goes by all that came back, not by the first of it, which in a crowd outlasts any deadline.
+func TestUntriedIsTriedAfterARestart(t *testing.T) {
+	for _, senders := range []int{3, 20, 300} {
+		for failed := range 5 {
+			for seed := range uint64(5) {
+				b := newBench(t, func(s *Settings) { s.Senders, s.Seed = senders, seed })
+				events := []Event{Arrived{ID: b.arrive(safe), Destination: 1, Class: safe, TimeLeft: 12 * sec, Before: Before{Attempts: failed, Failed: failed}}}
+				for range 7 {
+					events = append(events, Arrived{ID: b.arrive(safe), Destination: 1, Class: safe, TimeLeft: 12 * sec})
+				}
+				b.step(events...)
+				b.run(6*sec, always(OK, 50*ms))
+				if n := len(sends(b.log)); n < 7 {
+					t.Errorf("%d senders, %d failures, seed %d: %d of 8 messages tried in half of their time", senders, failed, seed, n)
+				}
+			}
+		}
+	}
+}
+
 // Attempts go on being counted from where the earlier process stopped.
 func TestAttemptsCountOverARestart(t *testing.T) {
 	b := newBench(t, nil)
