--- a/rules/rules.go
+++ b/rules/rules.go
@@ -56,6 +56,7 @@
 	roomMargin  = 16                      // part of the holding room kept free for newcomers: 1/16
 	minHorizon  = 250 * time.Millisecond  // look-ahead for worth lost by waiting
 	maxHorizon  = 3 * time.Second         // and at most: later losses count little; 10 s is worse in backlogs
+	slack       = 1e-14                   // of a worth, that rounding may move a gain
 	baseUrgency = 0.05                    // weight of a message's whole worth; 0.3 loses on even falls
 	handshake   = 100 * time.Millisecond  // latency that a connection likely open saves; 250 ms is even
 	tollTime    = 20.0                    // seconds of latency that a route's toll of 1 outweighs
@@ -212,17 +213,9 @@
 
 // endDue ends what can earn nothing more: out of time, out of attempts, or past its key's window.
 func (s *Sender) endDue() {
-	if s.now < s.endAt {
-		return
-	}
-	s.endAt = never
-	for _, d := range slices.Clone(s.waiting) {
-		for _, m := range slices.Clone(d.msgs) {
-			if !m.streamed && (s.now >= s.due(m) || len(m.out) == 0 && s.spent(m)) {
-				s.end(m)
-			} else {
-				s.endAt = min(s.endAt, s.endsNext(m))
-			}
+	for _, m := range s.fallen() {
+		if !m.ended() && (s.now >= s.due(m) || len(m.out) == 0 && s.spent(m)) {
+			s.end(m)
 		}
 	}
 }
@@ -243,8 +236,7 @@
 // maySend is the guard that every send passes; it holds the rules, whatever the plan says.
 func (s *Sender) maySend(m *message, ep *endpoint) bool {
 	mayNow := s.now >= m.notBefore && !m.ended() && len(m.out) == 0 && s.now < s.due(m) && !s.spent(m)
-	return mayNow && !s.closed(ep) && ep.dest == m.dest &&
-		(m.class.Effect != Keyed || s.keyHolds(m, ep)) && (m.order == nil || s.hasTurn(m))
+	return mayNow && !s.closed(ep) && ep.dest == m.dest && keyHolds(m, ep) && (m.order == nil || s.hasTurn(m))
 }
 
 // closed tells whether nothing may reach an endpoint: it drains, is gone, or its lane was told to wait.
@@ -260,11 +252,11 @@
 	}
 }
 
-// keyHolds tells whether a keyed message may go to ep: inside window and scope of what may have run.
-func (s *Sender) keyHolds(m *message, ep *endpoint) bool {
+// keyHolds tells whether a message that may have run is in the scope of its key at ep; spent has the window.
+func keyHolds(m *message, ep *endpoint) bool {
 	at, scope := m.mayRunAt, m.class.Scope // at is nil if a process before this one sent it and it is unlisted
-	inScope := scope == ScopeDestination || at == ep || scope == ScopeZone && at != nil && at.zone == ep.zone
-	return m.mayRun == never || inScope && s.now+s.set.Tick < m.windowEnd()
+	return m.class.Effect != Keyed || m.mayRun == never || scope == ScopeDestination || at == ep ||
+		scope == ScopeZone && at != nil && at.zone == ep.zone
 }
 
 // hasTurn tells whether a message is first of its key, with nothing of an earlier one still about.
@@ -350,13 +342,13 @@
 		m.notBefore = s.now + seconds(s.refusedPause(m.class)*float64(m.tries)*(0.5+s.rng.Float64()))
 	}
 	if e.Outcome.MayRun() && a.call.sent < m.mayRun {
-		m.mayRun, m.mayRunAt = a.call.sent, a.call.ep
+		s.ranAt(m, a.call.ep, a.call.sent)
 	}
 	if len(m.out) == 0 && s.spent(m) {
 		s.end(m)
 		return
 	}
-	s.endAt = min(s.endAt, s.endsNext(m))
+	s.file(m)
 }
 
 // refusedPause is the seconds in which a late message of the class loses a set part of its worth. Where worth
@@ -739,7 +731,7 @@
 // hasRoom tells whether one more call to the endpoint leaves slots for other lanes. Where places are scarce a
 // few messages share a connection, one by one: opening one takes as long as several calls.
 func (s *Sender) hasRoom(ep *endpoint) bool {
-	free := !s.crowded(ep) || len(ep.calls) <= len(ep.dest.msgs)/perPlace
+	free := !s.crowded(ep) || len(ep.calls) <= ep.dest.held/perPlace
 	return free && (ep.health == probation || ep.lane.inflight < max(2, int(laneShare*float64(s.set.Slots))))
 }
 
@@ -762,10 +754,16 @@
 
 // dispatch makes calls while there are slots, best first, and frees a slot if a good call finds none.
 func (s *Sender) dispatch() {
+	s.resume()
+	s.plans = s.plans[:0]
+	useful := len(s.calls) < s.set.Slots || s.stalest() != nil // else no plan comes to anything
+	for _, d := range s.waiting {
+		s.plans = append(s.plans, s.planFor(d, useful))
+	}
 	for {
-		var best plan
-		for _, d := range s.waiting {
-			if p := s.planFor(d); p.ep != nil && (best.ep == nil || p.score > best.score) {
+		best := &plan{}
+		for i := range s.plans {
+			if p := &s.plans[i]; p.ep != nil && (best.ep == nil || p.score > best.score) {
 				best = p
 			}
 		}
@@ -777,21 +775,22 @@
 			return
 		}
 		s.send(best.ep, best.msgs)
+		*best = s.planFor(best.ep.dest, true) // a call changes nothing for the others
 	}
 }
 
 // planFor finds a destination's best call now: the cheapest endpoint that is ready, and what gains most.
-func (s *Sender) planFor(d *destination) plan {
+func (s *Sender) planFor(d *destination, useful bool) plan {
 	var ready []*endpoint
 	for _, ep := range d.endpoints {
 		if !ep.listed {
 			continue
 		}
 		if s.gate(ep) > s.now {
-			if ep.lane.pace.next > s.now && s.anyWaits(d) {
+			if ep.lane.pace.next > s.now && d.anyWaits() {
 				ep.lane.pace.lastWaited = s.now
 			}
-		} else if s.hasRoom(ep) {
+		} else if useful && s.hasRoom(ep) {
 			ready = append(ready, ep)
 		}
 	}
@@ -821,42 +820,38 @@
 
 // fill picks the messages of one call to an endpoint: those that lose most by waiting.
 func (s *Sender) fill(d *destination, ep *endpoint) plan {
-	type ranked struct {
-		m    *message
-		gain float64
-	}
-	var fit []ranked
-	horizon := s.horizon(d)
-	for _, m := range d.msgs {
-		if s.fits(m, ep) && s.maySend(m, ep) {
-			fit = append(fit, ranked{m, s.gain(m, ep, horizon)})
-		}
-	}
-	if len(fit) == 0 {
-		return plan{}
+	best, n, trial := []ranked(nil), max(1, s.kind(ep).Batch), ep.health == probation
+	if best = s.rank(d, ep, n, func(e Effect) bool { return e == Safe || !trial }); len(best) == 0 && trial {
+		n = 1 // a trial risks least with what may be repeated
+		best = s.rank(d, ep, n, func(e Effect) bool { return e != Safe })
 	}
-	slices.SortStableFunc(fit, func(a, b ranked) int { return cmp.Compare(b.gain, a.gain) })
-	n := max(1, s.kind(ep).Batch)
-	if ep.health == probation {
-		// a trial risks least with what may be repeated
-		if slices.ContainsFunc(fit, func(r ranked) bool { return r.m.class.Effect == Safe }) {
-			fit = slices.DeleteFunc(fit, func(r ranked) bool { return r.m.class.Effect != Safe })
-		} else {
-			n = 1
-		}
-	}
-	if len(fit) < n && !slices.ContainsFunc(fit, func(r ranked) bool { return s.ripe(r.m) }) {
+	if len(best) < n && !slices.ContainsFunc(best, func(r ranked) bool { return s.ripe(r.m) }) {
 		return plan{}
 	}
 	p := plan{ep: ep}
-	for _, r := range fit[:min(n, len(fit))] {
+	for _, r := range best {
 		p.msgs = append(p.msgs, r.m)
-		p.score += r.gain
+		p.score += r.value
 	}
 	p.score /= max(ep.latency, 0.05)
 	return p
 }
 
+// rank returns the n messages, or as many as there are, of some effects that gain most at an endpoint.
+func (s *Sender) rank(d *destination, ep *endpoint, n int, of func(Effect) bool) []ranked {
+	r := ranking{n: n, passes: func(m *message) bool { return s.maySend(m, ep) }}
+	at := s.now + seconds(ep.latency)
+	later := at + s.horizon(d)
+	for _, g := range d.groups {
+		if m := g.root; g.ready && of(m.class.Effect) && s.fits(m, ep) && keyHolds(m, ep) {
+			weight := s.tenantWeight(m.tenant)
+			r.add(g, func(m *message) float64 { return weight * s.gain(m, at, later) },
+				slack*weight*m.class.Worth, append(breaks(m.class, at), breaks(m.class, later)...))
+		}
+	}
+	return r.best
+}
+
 // ripe tells whether a message has waited its time for company, where calls hold several. Guards against
 // small calls that use up a limit; where messages are rare it makes each a little later, at no loss of worth.
 func (s *Sender) ripe(m *message) bool {
@@ -868,11 +863,16 @@
 	return min(max(seconds(s.backlog(d)), minHorizon), maxHorizon)
 }
 
-// gain is the worth lost if a message is not sent now, plus a little of its whole worth.
-func (s *Sender) gain(m *message, ep *endpoint, horizon time.Duration) float64 {
-	at := s.now + seconds(ep.latency)
+// gain is the worth lost if a message comes later and not at a time, plus a little of its whole worth.
+func (s *Sender) gain(m *message, at, later time.Duration) float64 {
 	v := s.worth(m, at)
-	return s.tenantWeight(m.tenant) * (v - s.worth(m, at+horizon) + baseUrgency*v)
+	return v - s.worth(m, later) + baseUrgency*v
+}
+
+// breaks are the first deadlines at which messages of a class are alive, and in their aim, at a time. Between
+// them worth stays, rises or falls with the deadline, and gain does: where worth meets its floor none turns.
+func breaks(c *Class, at time.Duration) []time.Duration {
+	return []time.Duration{at + 1, at + c.Deadline - c.Aim}
 }
 
 // worth is what a message earns if delivered at a time.
@@ -903,20 +903,21 @@
 	return within + (1-within)*s.set.OverShareWorth
 }
 
-// freeSlot gives up the call that has been out longest, if it is overdue. Guards against calls that are never
-// answered filling every slot, each of which could carry ten others meanwhile; where answers are merely slow,
-// it may give up one that was to come.
-func (s *Sender) freeSlot() {
-	var oldest *call
+// freeSlot gives up the stalest call, if there is one. Guards against calls that are never answered filling
+// every slot, each of which could carry ten others; where answers are merely slow, one may have been to come.
+func (s *Sender) freeSlot() { s.cancel(s.stalest()) }
+
+// stalest is the overdue call that has been out longest, nil while a slot is on the way.
+func (s *Sender) stalest() (oldest *call) {
 	for _, c := range s.calls {
 		if c.cancelled {
-			return // its slot is on the way
+			return nil
 		}
 		if s.now-c.sent > haste*s.lateAfter(c.ep, c.class()) && (oldest == nil || c.sent < oldest.sent) {
 			oldest = c
 		}
 	}
-	s.cancel(oldest)
+	return oldest
 }
 
 // handBack answers at once, with when to come again, what cannot be sent in time: a told wait of all listed
@@ -935,14 +936,13 @@
 			continue
 		}
 		shut := d.soonest(halted)
-		d.firstDue = never
-		for _, m := range slices.Clone(d.msgs) {
-			due := s.due(m)
-			if mayEnd := at > due && s.mayRefuse(m) || shut > due; mayEnd && len(m.out) == 0 && !m.streamed {
-				s.end(m)
-			} else {
-				d.firstDue = min(d.firstDue, due)
+		for _, m := range s.dueBefore(d, func(like *message) time.Duration {
+			if s.mayRefuse(like) {
+				return max(at, shut)
 			}
+			return shut
+		}) {
+			s.end(m)
 		}
 	}
 }
@@ -966,14 +966,14 @@
 // cheapest is the waiting message of a destination that is worth least, among those that may be refused. Of
 // equals it is the newest, which has most time left to come again.
 func (s *Sender) cheapest(d *destination) *message {
-	var least *message
-	for _, m := range d.msgs {
-		if len(m.out) == 0 && !m.streamed && s.mayRefuse(m) &&
-			(least == nil || s.worth(m, s.now) <= s.worth(least, s.now)) {
-			least = m
+	r := ranking{n: 1, last: true}
+	for _, g := range d.groups {
+		if m := g.root; s.mayRefuse(m) {
+			value := func(m *message) float64 { return -s.worth(m, s.now) }
+			r.add(g, value, slack*m.class.Worth, breaks(m.class, s.now))
 		}
 	}
-	return least
+	return r.first()
 }
 
 // scheduleWake asks to be woken when the next thing falls due.
--- a/rules/state.go
+++ b/rules/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -96,11 +95,10 @@
 type destination struct {
 	seq       int // in the order first heard of
 	endpoints []*endpoint
-	msgs      []*message    // held, in order of arrival
-	firstDue  time.Duration // none of them is due before; may be early
-	served    meter
-	wanted    meter         // arrivals
-	retryAt   time.Duration // no call before at endpoints that failed
+	backlog
+	served  meter
+	wanted  meter         // arrivals
+	retryAt time.Duration // no call before at endpoints that failed
 }
 
 // call is what travels at once: the messages sent to one endpoint in one step.
@@ -129,6 +127,7 @@
 }
 
 type message struct {
+	node
 	id        MessageID
 	dest      *destination
 	class     *Class
@@ -161,11 +160,15 @@
 	now       time.Duration
 	endpoints map[EndpointID]*endpoint
 	dests     map[int]*destination
-	order     []*destination // in the order first heard of
-	waiting   []*destination // those of them that have messages, in the same order
-	endAt     time.Duration  // no message falls due to be ended before; may be early
-	dues      dueHeap        // what is held, the earliest deadline first; what has ended is dropped when it comes up
-	lapsedAt  time.Duration  // paces lapse as of then, whenever they are next looked at
+	order     []*destination    // in the order first heard of
+	waiting   []*destination    // those of them that have messages, in the same order
+	msgSeq    int               // messages taken so far
+	dues      alarms            // the deadlines of what is held
+	windows   alarms            // the ends of keys' windows, and what can be tried no more
+	paused    alarms            // the ends of pauses after refusals
+	ran       map[*endpoint]int // messages held that may have run there
+	plans     []plan            // reused by dispatch
+	lapsedAt  time.Duration     // paces lapse as of then, whenever they are next looked at
 	held      map[MessageID]*message
 	attempts  map[attemptKey]*attempt
 	gone      []*endpoint // oldest first
@@ -192,9 +195,9 @@
 
 // New returns a sender that knows nothing but its settings.
 func New(set Settings) *Sender {
-	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never, endAt: never,
+	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never,
 		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
-		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, proven: map[int]int{}, arrivals: make([]meter, len(set.Tenants)),
+		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, proven: map[int]int{}, ran: map[*endpoint]int{}, arrivals: make([]meter, len(set.Tenants)),
 		usual: make([]timing, len(set.Classes)), slowness: 1}
 	for _, t := range set.Tenants {
 		s.quotas += t.Quota
@@ -210,7 +213,7 @@
 func (s *Sender) destination(n int) *destination {
 	d := s.dests[n]
 	if d == nil {
-		d = &destination{seq: len(s.order), firstDue: never}
+		d = &destination{seq: len(s.order), backlog: backlog{firstDue: never}}
 		s.dests[n] = d
 		s.order = append(s.order, d)
 	}
@@ -226,10 +229,11 @@
 
 // take accepts a message; from here on one final answer is owed.
 func (s *Sender) take(e Arrived) {
-	m := &message{id: e.ID, dest: s.destination(e.Destination), class: &s.set.Classes[e.Class], classNo: e.Class, tenant: e.Tenant,
+	s.msgSeq++
+	m := &message{node: node{seq: s.msgSeq, weight: mix(s.msgSeq)}, id: e.ID, dest: s.destination(e.Destination), class: &s.set.Classes[e.Class], classNo: e.Class, tenant: e.Tenant,
 		deadline: s.now + e.TimeLeft, tries: e.Before.Attempts, mayRun: never}
 	if e.Before.MayRun {
-		m.mayRun, m.mayRunAt = s.now-e.Before.Ago, s.endpoints[e.Before.At]
+		s.ranAt(m, s.endpoints[e.Before.At], s.now-e.Before.Ago)
 	}
 	if m.class.KeepOrder && e.OrderKey != "" {
 		s.dropTurns()
@@ -240,14 +244,12 @@
 		m.order.queue = append(m.order.queue, m)
 	}
 	s.held[m.id] = m
-	if len(m.dest.msgs) == 0 {
+	if m.dest.held++; m.dest.held == 1 {
 		i, _ := slices.BinarySearchFunc(s.waiting, m.dest, bySeq)
 		s.waiting = slices.Insert(s.waiting, i, m.dest)
 	}
-	m.dest.msgs = append(m.dest.msgs, m)
-	m.dest.firstDue = min(m.dest.firstDue, s.due(m))
-	s.pushDue(m)
-	s.endAt = min(s.endAt, s.endsNext(m))
+	s.alarm(&s.dues, m, m.deadline)
+	s.file(m)
 	m.dest.wanted.add(s.now, deliveredMemory, 1)
 	s.total.add(s.now, deliveredMemory, 1)
 	if e.Tenant < len(s.arrivals) {
@@ -260,14 +262,37 @@
 	if m == nil {
 		return
 	}
-	m.over = true
 	delete(s.held, m.id)
-	m.dest.msgs = without(m.dest.msgs, m)
-	if i, waits := slices.BinarySearchFunc(s.waiting, m.dest, bySeq); waits && len(m.dest.msgs) == 0 {
+	if m.over {
+		return
+	}
+	m.over = true
+	if m.group != nil {
+		s.unfile(m)
+	}
+	if len(m.out) > 0 {
+		m.dest.out--
+	}
+	s.unran(m)
+	if m.dest.held--; m.dest.held == 0 {
+		i, _ := slices.BinarySearchFunc(s.waiting, m.dest, bySeq)
 		s.waiting = slices.Delete(s.waiting, i, i+1)
 	}
 	if m.order != nil {
-		m.order.queue = without(m.order.queue, m)
+		s.leave(m.order, m)
+	}
+}
+
+// leave takes a message out of the queue of its key; the next one may be first from now on.
+func (s *Sender) leave(t *turn, m *message) {
+	i, _ := slices.BinarySearchFunc(t.queue, m, func(a, b *message) int { return a.seq - b.seq })
+	if i > 0 {
+		t.queue = slices.Delete(t.queue, i, i+1)
+		return
+	}
+	t.queue[0], t.queue = nil, t.queue[1:] // which moves nothing
+	if len(t.queue) > 0 && t.queue[0].group != nil {
+		s.file(t.queue[0])
 	}
 }
 
@@ -298,41 +323,17 @@
 	return m.windowEnd() - s.now - s.set.Tick
 }
 
-// dueHeap orders messages by deadline.
-type dueHeap []*message
-
-func (h dueHeap) Len() int           { return len(h) }
-func (h dueHeap) Less(i, j int) bool { return h[i].deadline < h[j].deadline }
-func (h dueHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *dueHeap) Push(x any)        { *h = append(*h, x.(*message)) }
-func (h *dueHeap) Pop() any {
-	old := *h
-	m := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return m
-}
-
 func (m *message) ended() bool { return m.over || m.streamed }
 
-// pushDue adds a message to the heap, and drops what has ended once that is most of it, so that it stays bounded.
-func (s *Sender) pushDue(m *message) {
-	if len(s.dues) > 2*len(s.held)+64 {
-		s.dues = slices.DeleteFunc(s.dues, (*message).ended)
-		heap.Init(&s.dues)
-	}
-	heap.Push(&s.dues, m)
-}
-
 // earliestDue is the earliest due time of what is held and not streamed, never if there is none.
 func (s *Sender) earliestDue() time.Duration {
-	for len(s.dues) > 0 && s.dues[0].ended() {
-		heap.Pop(&s.dues)
+	for len(s.dues) > 0 && s.dues[0].m.ended() {
+		s.dues.pop()
 	}
 	if len(s.dues) == 0 {
 		return never
 	}
-	return s.due(s.dues[0])
+	return s.due(s.dues[0].m)
 }
 
 // calling lists the endpoints that have calls out, in the order of the list.
@@ -397,8 +398,7 @@
 func (s *Sender) forgetGone() {
 	for _, ep := range slices.Clone(s.gone) {
 		d := ep.dest
-		if s.now-ep.goneAt < goneMemory || len(ep.calls) > 0 || s.now < ep.lane.pace.haltUntil || len(d.endpoints) == 1 ||
-			slices.ContainsFunc(d.msgs, func(m *message) bool { return m.mayRunAt == ep }) {
+		if s.now-ep.goneAt < goneMemory || len(ep.calls) > 0 || s.now < ep.lane.pace.haltUntil || len(d.endpoints) == 1 || s.ran[ep] > 0 {
 			continue
 		}
 		s.gone = without(s.gone, ep)
@@ -447,9 +447,9 @@
 	}
 	return list
 }
-func (s *Sender) anyWaits(d *destination) bool {
-	return slices.ContainsFunc(d.msgs, func(m *message) bool { return len(m.out) == 0 })
-}
+
+// anyWaits tells whether a destination has messages with no attempt out.
+func (d *destination) anyWaits() bool { return d.held > d.out }
 
 // pace is the design's AIMD limiter: calls a second for one lane, unbounded (rate 0) until a refusal.
 type pace struct {
@@ -475,7 +475,12 @@
 	for _, m := range msgs {
 		a := &attempt{id: m.id, num: m.tries + m.back, call: c, msg: m}
 		m.tries++
-		m.out = append(m.out, a)
+		if m.group != nil {
+			s.unfile(m)
+		}
+		if m.out = append(m.out, a); len(m.out) == 1 {
+			m.dest.out++
+		}
 		if m.order != nil {
 			m.order.out++
 		}
@@ -501,7 +506,9 @@
 	}
 	delete(s.attempts, key)
 	m, c := a.msg, a.call
-	m.out = without(m.out, a)
+	if m.out = without(m.out, a); len(m.out) == 0 && !m.over {
+		m.dest.out--
+	}
 	if e.Recalled {
 		m.tries--
 		m.back++
@@ -554,7 +561,7 @@
 
 // backlog is how many seconds a destination's held messages take at its recent rate.
 func (s *Sender) backlog(d *destination) float64 {
-	return float64(len(d.msgs)) / max(d.served.perSecond(s.now, deliveredMemory), 1e-3)
+	return float64(d.held) / max(d.served.perSecond(s.now, deliveredMemory), 1e-3)
 }
 
 // crowded tells whether the endpoint's connection table may be full: many share it, and it is not proven otherwise.
