What is only listed is a record: a destination's state comes into being at first use

An endpoint that nothing was ever about has a record of 32 bytes and two places in an index; its destination, lane and endpoint are made at the first message, note or outcome for it, in the order first heard of. Services come at the first question about a class. A whole list is taken in by passes over the records, where each endpoint that came back was cut out of a list of all. Decisions are the same: TestTheModuleActsAsRecorded unchanged. Tests of the module ask for an endpoint by a function now, as it may be at rest; nothing else of them changed.

--- a/rules/harness_test.go
+++ b/rules/harness_test.go
@@ -186,7 +186,7 @@
 
 // made is a call of the class that left at a time.
 func (b *bench) made(ep EndpointID, class int, sent time.Duration) *call {
-	return &call{ep: b.s.endpoints[ep], sent: sent, attempts: []*attempt{{msg: &message{classNo: class}}}}
+	return &call{ep: b.s.endpoint(ep), sent: sent, attempts: []*attempt{{msg: &message{classNo: class}}}}
 }
 
 // answered lets the sender learn of a call of the class that was answered after so long.
--- /dev/null
+++ b/rules/record.go
@@ -0,0 +1,240 @@
+package rules
+
+import (
+	"cmp"
+	"slices"
+
+	"eiderhaven/internal/index"
+)
+
+// This file keeps what is listed and at rest. A destination is awake, with structs of its own, from the first time that a message,
+// a note or an outcome is about it until nothing of it is held or out; else it is a record for each endpoint. It decides nothing: what
+// comes awake is, to the last bit, what went to rest.
+
+// record is one endpoint of a destination at rest.
+type record struct {
+	id      EndpointID
+	seq     uint32
+	dest    int32
+	next    uint32 // the destination's next endpoint, in the order first heard of; after the last comes the first
+	rate    float64
+	zone    uint16
+	kind    uint8
+	listed  bool
+	missing bool // from the whole list that is just taken in
+	used    bool // else it is free
+}
+
+// roster is all records, with the ways to find them.
+type roster struct {
+	list   []record
+	free   []uint32
+	byID   *index.Index[EndpointID]
+	byDest *index.Index[int32] // the last endpoint of each
+}
+
+func newRoster() *roster {
+	r := &roster{}
+	r.byID = index.New(func(at uint32) EndpointID { return r.list[at].id })
+	r.byDest = index.New(func(at uint32) int32 { return r.list[at].dest })
+	return r
+}
+
+// fits tells whether an endpoint has a place in a record. What has none stays awake.
+func fits(dest, kind, zone int) bool {
+	return int(int32(dest)) == dest && int(uint8(kind)) == kind && int(uint16(zone)) == zone
+}
+
+// reserve makes room for so many records.
+func (r *roster) reserve(n int) {
+	if n -= len(r.list); n > 0 {
+		r.list = slices.Grow(r.list, n)
+		r.byID.Reserve(n)
+		r.byDest.Reserve(n)
+	}
+}
+
+// last is the record of the last endpoint of a destination at rest.
+func (r *roster) last(dest int) (at uint32, known bool) {
+	if int(int32(dest)) != dest {
+		return 0, false
+	}
+	return r.byDest.Find(int32(dest))
+}
+
+// add appends an endpoint to a destination at rest, which may be new.
+func (r *roster) add(x record) {
+	at := uint32(len(r.list))
+	if n := len(r.free); n > 0 {
+		at, r.free = r.free[n-1], r.free[:n-1]
+	} else {
+		r.list = append(r.list, record{})
+	}
+	x.used, x.next = true, at
+	if last, known := r.byDest.Find(x.dest); known {
+		x.next, r.list[last].next = r.list[last].next, at
+	}
+	r.list[at] = x
+	r.byID.Put(at)
+	r.byDest.Put(at)
+}
+
+// take removes a destination and returns its endpoints in the order first heard of.
+func (r *roster) take(last uint32) []record {
+	var all []record
+	r.byDest.Remove(r.list[last].dest)
+	for at := r.list[last].next; ; at = r.list[at].next {
+		all = append(all, r.list[at])
+		r.byID.Remove(r.list[at].id)
+		r.free = append(r.free, at)
+		r.list[at].used = false
+		if at == last {
+			return all
+		}
+	}
+}
+
+// endpoint returns a listed endpoint, awake, nil for one not known.
+func (s *Sender) endpoint(id EndpointID) *endpoint {
+	if at, known := s.roster.byID.Find(id); known {
+		s.wake(s.roster.list[at].dest)
+	}
+	return s.endpoints[id]
+}
+
+// wake makes a destination at rest one with a state, the one that it had.
+func (s *Sender) wake(dest int32) {
+	last, known := s.roster.byDest.Find(dest)
+	if !known {
+		return
+	}
+	d := s.newDestination(int(dest))
+	for _, r := range s.roster.take(last) {
+		ep := s.join(d, r.id, r.seq, int(r.kind))
+		ep.zone, ep.rate, ep.listed = int(r.zone), r.rate, r.listed
+		if r.missing {
+			s.missed = append(s.missed, s.leave(ep))
+		}
+	}
+	d.seq = d.endpoints[0].seq
+}
+
+// newDestination returns a destination that nothing is known of.
+func (s *Sender) newDestination(n int) *destination {
+	d := &destination{number: n, firstDue: never}
+	s.dests[n] = d
+	return d
+}
+
+// join gives a destination one endpoint more, on the lane of the others unless its kind's routes are apart.
+func (s *Sender) join(d *destination, id EndpointID, seq uint32, kind int) *endpoint {
+	ep := &endpoint{id: id, seq: seq, dest: d, kind: kind}
+	if !s.kind(ep).RoutesApart && len(d.endpoints) > 0 {
+		ep.lane = d.endpoints[0].lane
+	} else {
+		ep.lane = &lane{}
+	}
+	s.endpoints[id] = ep
+	d.endpoints = append(d.endpoints, ep)
+	return ep
+}
+
+// note takes an entry of the list in without waking anything; it is false if that cannot be.
+func (s *Sender) note(e Entry) bool {
+	listed := !e.Draining && !e.Gone
+	if at, known := s.roster.byID.Find(e.Endpoint); known {
+		r := &s.roster.list[at]
+		if e.Gone || !fits(int(r.dest), int(r.kind), e.Zone) {
+			return false
+		}
+		r.zone, r.rate, r.listed, r.missing = uint16(e.Zone), s.rateOf(e), listed, false
+		return true
+	}
+	if e.Gone || !fits(e.Destination, e.Kind, e.Zone) || s.dests[e.Destination] != nil || s.endpoints[e.Endpoint] != nil {
+		return false
+	}
+	s.epSeq++
+	s.roster.add(record{id: e.Endpoint, seq: s.epSeq, dest: int32(e.Destination), zone: uint16(e.Zone), kind: uint8(e.Kind),
+		rate: s.rateOf(e), listed: listed})
+	return true
+}
+
+// rateOf is the rate that an entry lists, where that means something.
+func (s *Sender) rateOf(e Entry) float64 {
+	if s.set.RatesListed {
+		return e.ListedRate
+	}
+	return 0
+}
+
+// departure is that the list has lost an endpoint. It is void if the endpoint has come back since.
+type departure struct {
+	ep *endpoint
+	no int // of all departures
+}
+
+func (g departure) void() bool { return !g.ep.gone || g.ep.departed != g.no }
+
+// leave notes that the list has lost an endpoint.
+func (s *Sender) leave(ep *endpoint) departure {
+	s.departures++
+	ep.listed, ep.gone, ep.goneAt, ep.departed = false, true, s.now, s.departures
+	return departure{ep, s.departures}
+}
+
+// list brings the endpoints up to date. A drained or missing one gets nothing new from this step on.
+func (s *Sender) list(e Listed) {
+	before := len(s.gone)
+	if e.Whole {
+		for _, d := range s.dests {
+			for _, ep := range d.endpoints {
+				s.setGone(ep, true)
+			}
+		}
+		for at := range s.roster.list {
+			s.roster.list[at].missing = true
+		}
+		s.roster.reserve(len(e.Entries))
+	}
+	missing := len(s.gone)
+	for _, entry := range e.Entries {
+		if s.note(entry) {
+			continue
+		}
+		ep := s.endpoint(entry.Endpoint)
+		if ep == nil {
+			d := s.destination(entry.Destination)
+			s.epSeq++
+			ep = s.join(d, entry.Endpoint, s.epSeq, entry.Kind)
+			s.inherit(ep)
+		}
+		ep.zone, ep.rate, ep.listed = entry.Zone, s.rateOf(entry), !entry.Draining && !entry.Gone
+		s.setGone(ep, entry.Gone)
+	}
+	if e.Whole {
+		for _, r := range s.roster.list {
+			if r.used && r.missing {
+				s.wake(r.dest)
+			}
+		}
+		lost := append(slices.Clone(s.gone[before:missing]), s.missed...)
+		lost = slices.DeleteFunc(lost, departure.void)
+		slices.SortFunc(lost, func(a, b departure) int { return inOrder(a.ep, b.ep) })
+		s.gone, s.missed = slices.Concat(s.gone[:before], lost, s.gone[missing:]), nil
+	}
+	s.gone = slices.DeleteFunc(s.gone, departure.void)
+	s.forgetGone()
+}
+
+// inOrder is the order of all endpoints: that in which their destinations, and then they, were first heard of.
+func inOrder(a, b *endpoint) int {
+	return cmp.Or(bySeq(a.dest, b.dest), cmp.Compare(a.seq, b.seq))
+}
+
+// setGone notes whether the list has lost an endpoint.
+func (s *Sender) setGone(ep *endpoint, gone bool) {
+	if gone && !ep.gone {
+		s.gone = append(s.gone, s.leave(ep))
+	}
+	ep.gone = gone
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -295,7 +295,7 @@
 // lateAfter is the time after which an answer of the endpoint to a call of the class is unusually late. Where
 // all calls take longer than they did, it is no endpoint's fault, and later is usual.
 func (s *Sender) lateAfter(ep *endpoint, class int) time.Duration {
-	t := &ep.services[class].timing
+	t := &ep.service(class).timing
 	if !t.known {
 		t = &ep.timing
 	}
@@ -321,7 +321,7 @@
 // attemptEnded takes an outcome: for its endpoint once a call, for the message always. A wait binds whoever
 // it was told to, also by the later outcomes of one call.
 func (s *Sender) attemptEnded(e Ended) {
-	if ep := s.endpoints[e.Endpoint]; ep != nil && e.Wait > 0 {
+	if ep := s.endpoint(e.Endpoint); ep != nil && e.Wait > 0 {
 		ep.lane.pace.lapse(s.lapsedAt)
 		ep.lane.pace.onWait(s.now + e.Wait)
 	}
@@ -422,13 +422,13 @@
 
 // heard takes another sender's note. What it names may be unknown here.
 func (s *Sender) heard(n Note) {
-	ep := s.endpoints[n.Endpoint]
+	ep := s.endpoint(n.Endpoint)
 	switch {
-	case ep == nil || n.Class < 0 || n.Class >= len(ep.services):
+	case ep == nil || n.Class < 0 || n.Class >= len(s.set.Classes):
 	case n.Wait > 0:
 		s.opensAt(ep, s.now+min(n.Wait, maxTold))
 	default:
-		s.believe(&ep.services[n.Class])
+		s.believe(ep.service(n.Class))
 	}
 }
 
@@ -453,8 +453,8 @@
 
 // shuns tells whether a class is to stay away from an endpoint, as another one takes it.
 func (s *Sender) shuns(ep *endpoint, class int) bool {
-	return s.now < ep.services[class].retryAt && slices.ContainsFunc(ep.dest.endpoints, func(o *endpoint) bool {
-		return o.listed && o.health != probation && s.now >= o.services[class].retryAt
+	return s.now < ep.service(class).retryAt && slices.ContainsFunc(ep.dest.endpoints, func(o *endpoint) bool {
+		return o.listed && o.health != probation && s.now >= o.service(class).retryAt
 	})
 }
 
@@ -749,7 +749,7 @@
 	if ep.health == probation && m.tries+1 >= s.set.MaxAttempts || s.shuns(ep, m.classNo) {
 		return false // its last attempt is for a better time
 	}
-	v, most := &ep.services[m.classNo], max(1, int(illShare*float64(s.set.Slots)))
+	v, most := ep.service(m.classNo), max(1, int(illShare*float64(s.set.Slots)))
 	if (v.ill > 0 || s.now < v.retryAt) && s.overdue >= most {
 		return false // else calls that nobody answers fill every slot
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -51,7 +51,7 @@
 func TestWakeUpIsNeverLost(t *testing.T) {
 	b := newBench(t, nil, Entry{Endpoint: 11, Destination: 2})
 	id := b.arrive(safe)
-	b.s.endpoints[11].lane.pace.next = b.now + 333*time.Nanosecond // not whole microseconds
+	b.s.endpoint(11).lane.pace.next = b.now + 333*time.Nanosecond // not whole microseconds
 	b.step(Arrived{ID: id, Destination: 1, Class: safe, TimeLeft: 16 * sec})
 	var due []time.Duration // the wake-ups asked for, cut to microseconds as a wire would
 	seen := 0
@@ -152,7 +152,7 @@
 		b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1}, Entry{Endpoint: 12, Destination: 1})
 		id, _ := b.take(class)
 		m := b.s.held[id]
-		for _, ep := range b.s.dests[1].endpoints {
+		for _, ep := range b.s.destination(1).endpoints {
 			if b.s.maySend(m, ep) {
 				t.Errorf("class %d: a second attempt passes while one is out", class)
 			}
@@ -167,7 +167,7 @@
 	b := newBench(t, nil)
 	id, _ := b.take(keyed)
 	m := b.s.held[id]
-	ep := b.s.endpoints[11]
+	ep := b.s.endpoint(11)
 	m.out, m.mayRun, m.mayRunAt = nil, b.now, ep
 	b.s.now = b.now + 6*sec - 10*ms
 	if !b.s.maySend(m, ep) {
@@ -224,11 +224,11 @@
 		b := newBench(t, nil, entries...)
 		id, _ := b.take(c.class)
 		m := b.s.held[id]
-		if m.out = nil; !b.s.maySend(m, b.s.endpoints[c.ep]) {
+		if m.out = nil; !b.s.maySend(m, b.s.endpoint(c.ep)) {
 			t.Errorf("class %d: barred from %d before anything may have run", c.class, c.ep)
 		}
-		m.mayRun, m.mayRunAt = b.now, b.s.endpoints[11]
-		if got := b.s.maySend(m, b.s.endpoints[c.ep]); got != c.want {
+		m.mayRun, m.mayRunAt = b.now, b.s.endpoint(11)
+		if got := b.s.maySend(m, b.s.endpoint(c.ep)); got != c.want {
 			t.Errorf("class %d to %d: %v, want %v", c.class, c.ep, got, c.want)
 		}
 		if got, want := b.s.mayRefuse(m), c.class == keyed; got != want {
@@ -281,7 +281,7 @@
 	for _, o := range []Outcome{Reset, ConnectError, Errored, Full} {
 		b := newBench(t, nil)
 		b.serve(100, safe, 11) // ten calls a second
-		before := b.s.endpoints[11].delivered.perSecond(b.now, deliveredMemory)
+		before := b.s.endpoint(11).delivered.perSecond(b.now, deliveredMemory)
 		for range 60 {
 			b.take(safe)
 		}
@@ -439,8 +439,8 @@
 			t.Fatalf("kind %d: called back %v, want %s", kind, back, id)
 		}
 		got := sends(b.end(id, 0, 11, NotSent, func(e *Ended) { e.Recalled = true }))
-		if got = append(got, sends(b.wait(495*ms))...); len(got) != elsewhere || b.s.endpoints[11].fails != 0 {
-			t.Errorf("kind %d: %d sends during the wait, want %d; %d failures", kind, len(got), elsewhere, b.s.endpoints[11].fails)
+		if got = append(got, sends(b.wait(495*ms))...); len(got) != elsewhere || b.s.endpoint(11).fails != 0 {
+			t.Errorf("kind %d: %d sends during the wait, want %d; %d failures", kind, len(got), elsewhere, b.s.endpoint(11).fails)
 		}
 		got = append(got, sends(b.wait(6*sec))...)
 		if !slices.ContainsFunc(got, func(a Send) bool { return a.ID == id }) || b.s.held[id].tries != 1 {
@@ -679,7 +679,7 @@
 
 func TestPaceSpacesCallsNotMessages(t *testing.T) {
 	b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1, Kind: 2})
-	ep := b.s.endpoints[11]
+	ep := b.s.endpoint(11)
 	ep.lane.pace.rate, ep.lane.pace.next, ep.lane.pace.lastRefusal = 2, b.now+sec, b.now
 	for range 6 {
 		b.take(safe)
@@ -732,7 +732,7 @@
 	} {
 		b := newBench(t, nil)
 		b.serve(2, safe, 11)
-		ep := b.s.endpoints[11]
+		ep := b.s.endpoint(11)
 		for _, o := range c.outcomes {
 			b.now += 10 * ms
 			b.s.now = b.now
@@ -749,14 +749,14 @@
 	b.serve(3, safe, 11)
 	id, _ := b.take(safe)
 	b.end(id, 0, 11, Full, withWait(longWait+sec))
-	if ep := b.s.endpoints[11]; ep.health != ramping || ep.since != b.now+longWait+sec {
+	if ep := b.s.endpoint(11); ep.health != ramping || ep.since != b.now+longWait+sec {
 		t.Errorf("health %d since %v: a wait beyond a limit's own did not count as shut until its end", ep.health, ep.since)
 	}
 	b = newBench(t, nil)
 	b.serve(3, safe, 11)
 	b.take(safe)
 	b.run(refusalSpan+4*sec, always(Full, 10*ms))
-	if b.s.endpoints[11].health != probation {
+	if b.s.endpoint(11).health != probation {
 		t.Error("refusals only, over seconds, did not count as shut")
 	}
 }
@@ -774,7 +774,7 @@
 	if len(b.s.held) != 0 {
 		t.Fatalf("%d calls, %d held: want it sent again and served", len(at), len(b.s.held))
 	}
-	if got := b.s.endpoints[11].health; got != healthy {
+	if got := b.s.endpoint(11).health; got != healthy {
 		t.Errorf("health %d after brief silence, want healthy at once", got)
 	}
 }
@@ -791,8 +791,8 @@
 		if got, want := len(pick[Cancel](out)) > 0, cures > 1; got != want {
 			t.Errorf("after %d cured silences: renewed at the first late silence %v, want %v", cures, got, want)
 		}
-		if b.s.endpoints[11].health != healthy {
-			t.Errorf("after %d cured silences: health %d, want healthy still", cures, b.s.endpoints[11].health)
+		if b.s.endpoint(11).health != healthy {
+			t.Errorf("after %d cured silences: health %d, want healthy still", cures, b.s.endpoint(11).health)
 		}
 	}
 }
@@ -830,7 +830,7 @@
 		b.now += 5 * ms
 		b.step(Arrived{ID: id, Destination: 1, Class: safe, TimeLeft: 16 * sec})
 		b.run(8*sec, lose)
-		if got := b.s.endpoints[11].health; got != c.want {
+		if got := b.s.endpoint(11).health; got != c.want {
 			t.Errorf("health %d after %d lost answers, want %d", got, c.lost, c.want)
 		}
 	}
@@ -848,7 +848,7 @@
 func TestRampAfterLongTrouble(t *testing.T) {
 	b := newBench(t, nil)
 	b.serve(10, safe, 11)
-	ep := b.s.endpoints[11]
+	ep := b.s.endpoint(11)
 	ep.failing = b.now
 	b.s.suspend(ep, Reset)
 	b.wait(6 * sec)
@@ -882,7 +882,7 @@
 
 func TestAnswersFromBeforeTheOutageDoNotStartTheRamp(t *testing.T) {
 	b := newBench(t, nil)
-	ep := b.s.endpoints[11]
+	ep := b.s.endpoint(11)
 	b.s.suspend(ep, Reset)
 	b.answered(11, safe, sec)
 	if ep.health != probation {
@@ -1003,9 +1003,9 @@
 
 func TestTrialPrefersWhatMayBeRepeated(t *testing.T) {
 	b := newBench(t, nil)
-	b.s.suspend(b.s.endpoints[11], Errored)
-	b.s.endpoints[11].charged = b.now
-	b.s.endpoints[11].failing = b.now - 10*sec
+	b.s.suspend(b.s.endpoint(11), Errored)
+	b.s.endpoint(11).charged = b.now
+	b.s.endpoint(11).failing = b.now - 10*sec
 	b.take(once)
 	id, _ := b.take(safe)
 	if out := sends(b.wait(2*sec + 5*ms)); len(out) != 1 || out[0].ID != id {
@@ -1033,7 +1033,7 @@
 	b := newBench(t, nil)
 	id, _ := b.take(once)
 	out := b.end(id, 0, 11, NotSent, func(e *Ended) { e.NoSlot = true })
-	if b.s.endpoints[11].fails != 0 || finals(out) != 0 {
+	if b.s.endpoint(11).fails != 0 || finals(out) != 0 {
 		t.Error("a call that never left counted against endpoint or message")
 	}
 }
@@ -1087,7 +1087,7 @@
 	} {
 		b := newBench(t, func(s *Settings) { s.Senders = c.senders })
 		if c.fails > 0 {
-			b.s.failed(b.s.endpoints[11], b.now-c.fails, ConnectError)
+			b.s.failed(b.s.endpoint(11), b.now-c.fails, ConnectError)
 		}
 		for range c.answers {
 			b.answered(11, safe, 50*ms)
@@ -1118,7 +1118,7 @@
 	if len(at) < 4 || len(at) > 12 {
 		t.Errorf("%d knocks in 6 s at a call of 0.1 s, want 4 to 12", len(at))
 	}
-	if ep := b.s.endpoints[11]; ep.health != healthy || ep.fails != 0 {
+	if ep := b.s.endpoint(11); ep.health != healthy || ep.fails != 0 {
 		t.Errorf("health %v after %d failures, want it taken for no outage", ep.health, ep.fails)
 	}
 	full = false
@@ -1137,7 +1137,7 @@
 		senders, held, want int
 	}{{300, 1, 1}, {300, perPlace - 1, 1}, {300, perPlace, 2}, {3, perPlace - 1, perPlace - 1}} {
 		b := newBench(t, func(s *Settings) { s.Senders = c.senders })
-		b.s.turnedAway(b.s.endpoints[11])
+		b.s.turnedAway(b.s.endpoint(11))
 		b.wait(10 * sec)
 		var events []Event
 		for range c.held {
@@ -1199,7 +1199,7 @@
 		b := newBench(t, func(s *Settings) { s.Senders = senders })
 		id, _ := b.take(safe)
 		b.end(id, 0, 11, Full)
-		p := b.s.endpoints[11].lane.pace
+		p := b.s.endpoint(11).lane.pace
 		if gap := seconds(1 / p.rate); (p.next < b.now+gap) != (senders > crowd) {
 			t.Errorf("%d senders: first gap %v of %v, want a whole one at most, a part of it in a crowd", senders, p.next-b.now, gap)
 		}
@@ -1217,7 +1217,7 @@
 			Entry{Endpoint: 21, Destination: 2})
 		b.serve(5, safe, 11)
 		b.serve(1, safe, 11)
-		late := b.s.lateAfter(b.s.endpoints[11], safe)
+		late := b.s.lateAfter(b.s.endpoint(11), safe)
 		out, _ := b.take(c.class)
 		b.take(c.class)
 		id := b.arrive(safe)
@@ -1239,7 +1239,7 @@
 		b.step(Arrived{ID: "m", Destination: 1, Class: safe, TimeLeft: 16 * sec})
 		ep := b.s.held["m"].out[0].call.ep
 		b.end("m", 0, ep.id, ConnectError)
-		return b.s.dests[1].retryAt - b.now
+		return b.s.destination(1).retryAt - b.now
 	}
 	alone, beside := pause(Entry{Endpoint: 11, Destination: 1}),
 		pause(Entry{Endpoint: 11, Destination: 1}, Entry{Endpoint: 12, Destination: 1})
@@ -1255,7 +1255,7 @@
 		id, _ := b.take(safe)
 		b.end(id, 0, 11, ConnectError)
 		b.step(Listed{Entries: []Entry{{Endpoint: 12, Destination: 1, Kind: c.kind}}})
-		if got := b.s.endpoints[12].fails; got != c.want {
+		if got := b.s.endpoint(12).fails; got != c.want {
 			t.Errorf("%d senders, kind %d: the new endpoint counts %d failures, want %d", c.senders, c.kind, got, c.want)
 		}
 	}
@@ -1397,7 +1397,7 @@
 	if n := len(b.s.endpoints); n > 40 || forgotten != 3001-n {
 		t.Errorf("%d endpoints kept of 3001, %d forgotten", n, forgotten)
 	}
-	if n := len(b.s.dests[1].endpoints) + len(b.s.gone); n > 80 {
+	if n := len(b.s.destination(1).endpoints) + len(b.s.gone); n > 80 {
 		t.Errorf("%d endpoints kept in lists", n)
 	}
 	if n := len(b.s.turns); n > 200 {
@@ -1439,16 +1439,16 @@
 	}
 
 	b = newBench(t, nil)
-	lane := b.s.endpoints[11].lane
+	lane := b.s.endpoint(11).lane
 	b.step(gone)
 	b.now += 2 * goneMemory
 	if forgets(b.step(Listed{})) {
 		t.Error("the last endpoint of a destination is forgotten")
 	}
-	if !forgets(b.step(Listed{Entries: []Entry{other}})) || b.s.endpoints[12].lane != lane {
+	if !forgets(b.step(Listed{Entries: []Entry{other}})) || b.s.endpoint(12).lane != lane {
 		t.Error("a new endpoint does not take over from the last one")
 	}
-	if b.step(Listed{Entries: []Entry{{Endpoint: 11, Destination: 1}}}); !b.s.endpoints[11].listed {
+	if b.step(Listed{Entries: []Entry{{Endpoint: 11, Destination: 1}}}); !b.s.endpoint(11).listed {
 		t.Error("an endpoint that comes back is not taken up")
 	}
 }
@@ -1459,7 +1459,7 @@
 	for i := range 5 {
 		b.step(Listed{Entries: []Entry{{Endpoint: EndpointID(12 + i), Destination: 1}, {Endpoint: EndpointID(11 + i), Gone: true}}})
 	}
-	if n := b.s.dests[1].width(); n != 1 {
+	if n := b.s.destination(1).width(); n != 1 {
 		t.Errorf("a destination with one endpoint left counts %d", n)
 	}
 }
@@ -1503,7 +1503,7 @@
 	b.answered(11, safe, 100*ms) // the cheaper one, so that price alone would choose it
 	b.answered(12, safe, sec)
 	first, _ := b.take(safe)
-	ep := b.s.endpoints[11]
+	ep := b.s.endpoint(11)
 	b.wait(b.s.lateAfter(ep, safe) + 10*ms)
 	b.answered(11, ordered, 3*sec)
 	if _, out := b.take(safe); len(sends(out)) != 1 || sends(out)[0].Endpoint != 12 {
@@ -1531,7 +1531,7 @@
 				b.answered(ep, safe, took)
 			}
 		}
-		late = append(late, b.s.lateAfter(b.s.endpoints[11], safe))
+		late = append(late, b.s.lateAfter(b.s.endpoint(11), safe))
 	}
 	if late[1] < late[0]*5/4 || late[2] != late[0] {
 		t.Errorf("late after %v where all calls are as usual, slow, and as usual again", late)
@@ -1543,11 +1543,11 @@
 	for _, stood := range []time.Duration{0, 2 * sec} {
 		b := newBench(t, nil)
 		b.serve(3, safe, 11)
-		before := b.s.endpoints[11].latency
+		before := b.s.endpoint(11).latency
 		id, _ := b.take(safe)
 		b.now = b.s.wakeAt + stood
 		b.end(id, 0, 11, OK, func(e *Ended) { e.Elapsed = 300*ms + stood })
-		if learned := b.s.endpoints[11].latency != before; learned != (stood == 0) {
+		if learned := b.s.endpoint(11).latency != before; learned != (stood == 0) {
 			t.Errorf("stood still for %v: learned %v", stood, learned)
 		}
 	}
@@ -1582,7 +1582,7 @@
 		if got != c.want {
 			t.Errorf("%s: sent to %d, want %d", c.name, got, c.want)
 		}
-		if until := b.s.endpoints[11].lane.pace.haltUntil; until > b.now+maxTold {
+		if until := b.s.endpoint(11).lane.pace.haltUntil; until > b.now+maxTold {
 			t.Errorf("%s: another sender's word halts for %v", c.name, until-b.now)
 		}
 	}
@@ -1666,7 +1666,7 @@
 			b.s.destination(1).wanted.add(b.now, deliveredMemory, 1)
 		}
 		b.s.now = b.now
-		ep := b.s.endpoints[11]
+		ep := b.s.endpoint(11)
 		ep.health, ep.since, ep.charged = ramping, b.now, b.now
 		if got := 1 / (b.s.gap(ep).Seconds() * b.s.set.OverloadFactor * b.s.set.ColdShare); math.Abs(got-c.want) > 0.001 {
 			t.Errorf("%s: %.3f a second, want %.3f", c.name, got, c.want)
@@ -1709,8 +1709,8 @@
 			b.answered(11, safe, 0)
 		}
 		b.s.now += 2 * sec
-		b.s.refused(b.s.endpoints[11], b.s.now-10*ms, 0)
-		if got := b.s.endpoints[11].lane.pace.rate; math.Abs(got-want) > 0.001 {
+		b.s.refused(b.s.endpoint(11), b.s.now-10*ms, 0)
+		if got := b.s.endpoint(11).lane.pace.rate; math.Abs(got-want) > 0.001 {
 			t.Errorf("rate %.3f after refusal %d, want %.3f", got, i+1, want)
 		}
 	}
@@ -1766,7 +1766,7 @@
 	for _, senders := range []int{crowd + 1, crowd} {
 		b := newBench(t, func(s *Settings) { s.Senders = senders })
 		b.serve(1, safe, 11)
-		ep := b.s.endpoints[11]
+		ep := b.s.endpoint(11)
 		b.s.suspend(ep, Full)
 		ep.failing, ep.charged = b.now-10*sec, b.now+20*sec // old trouble, as if the gap were that long
 		id, out := b.take(safe)
--- a/rules/state.go
+++ b/rules/state.go
@@ -54,6 +54,8 @@
 // service is how an endpoint treats one class: it may fail or swallow one and serve the others.
 type service struct {
 	timing
+	class   int
+	next    *service      // of the same endpoint
 	ill     int           // calls failed or overdue since the last answer
 	retryAt time.Duration // no call of the class before, if another endpoint takes it
 	told    meter         // what other senders say of it
@@ -61,19 +63,20 @@
 
 // endpoint is one place that takes calls, with what this sender has seen of it.
 type endpoint struct {
-	id     EndpointID
-	seq    int // in the order first heard of
-	zone   int
-	kind   int
-	dest   *destination
-	lane   *lane
-	listed bool
-	gone   bool // from the list, not just draining
-	goneAt time.Duration
-	rate   float64 // listed rate
-	calls  []*call // out, oldest first
+	id       EndpointID
+	seq      uint32 // in the order first heard of
+	zone     int
+	kind     int
+	dest     *destination
+	lane     *lane
+	listed   bool
+	gone     bool // from the list, not just draining
+	goneAt   time.Duration
+	departed int     // the number of that
+	rate     float64 // listed rate
+	calls    []*call // out, oldest first
 	timing
-	services []service // by class
+	services *service // the first of those that were asked for
 
 	health     health
 	symptom    Outcome
@@ -94,7 +97,8 @@
 }
 
 type destination struct {
-	seq       int // in the order first heard of
+	number    int
+	seq       uint32 // in the order first heard of
 	endpoints []*endpoint
 	msgs      []*message    // held, in order of arrival
 	firstDue  time.Duration // none of them is due before; may be early
@@ -156,44 +160,46 @@
 
 // Sender decides for one sender; it knows only what its own events told it.
 type Sender struct {
-	set       Settings
-	rng       *rand.Rand
-	now       time.Duration
-	endpoints map[EndpointID]*endpoint
-	dests     map[int]*destination
-	order     []*destination // in the order first heard of
-	waiting   []*destination // those of them that have messages, in the same order
-	endAt     time.Duration  // no message falls due to be ended before; may be early
-	dues      dueHeap        // what is held, the earliest deadline first; what has ended is dropped when it comes up
-	lapsedAt  time.Duration  // paces lapse as of then, whenever they are next looked at
-	held      map[MessageID]*message
-	attempts  map[attemptKey]*attempt
-	gone      []*endpoint // oldest first
-	turns     map[string]*turn
-	turnsLeft int      // when they were last looked through
-	calls     []*call  // out, oldest first; each holds a slot
-	usual     []timing // of all endpoints, by class
-	arrivals  []meter
-	total     meter
-	cured     meter       // silences that a fresh connection ended
-	quotas    float64     // of all tenants
-	slowness  float64     // how long answers take lately, over what they took before at the same endpoint
-	proven    map[int]int // by kind, answers since a connect was turned away; below startOpen connections are yielded
-	idled     []*endpoint // had a call end in this step
-	callers   []*endpoint // reused by calling
-	overdue   int         // calls out that are unusually late
-	epSeq     int         // endpoints heard of so far
-	wakeAt    time.Duration
-	watchAt   time.Duration
-	endsAt    time.Duration // of the process
-	stood     bool          // the sender stood still: this step comes long after it was asked for
-	actions   []Action
+	set        Settings
+	rng        *rand.Rand
+	now        time.Duration
+	endpoints  map[EndpointID]*endpoint // awake
+	dests      map[int]*destination     // awake
+	roster     *roster                  // the others
+	waiting    []*destination           // those that have messages, in the order first heard of
+	endAt      time.Duration            // no message falls due to be ended before; may be early
+	dues       dueHeap                  // what is held, the earliest deadline first; what has ended is dropped when it comes up
+	lapsedAt   time.Duration            // paces lapse as of then, whenever they are next looked at
+	held       map[MessageID]*message
+	attempts   map[attemptKey]*attempt
+	gone       []departure // oldest first
+	missed     []departure // of those that were at rest, in the whole list that is just taken in
+	turns      map[string]*turn
+	turnsLeft  int      // when they were last looked through
+	calls      []*call  // out, oldest first; each holds a slot
+	usual      []timing // of all endpoints, by class
+	arrivals   []meter
+	total      meter
+	cured      meter       // silences that a fresh connection ended
+	quotas     float64     // of all tenants
+	slowness   float64     // how long answers take lately, over what they took before at the same endpoint
+	proven     map[int]int // by kind, answers since a connect was turned away; below startOpen connections are yielded
+	idled      []*endpoint // had a call end in this step
+	callers    []*endpoint // reused by calling
+	overdue    int         // calls out that are unusually late
+	epSeq      uint32      // endpoints and destinations heard of so far
+	departures int         // of endpoints from the list so far
+	wakeAt     time.Duration
+	watchAt    time.Duration
+	endsAt     time.Duration // of the process
+	stood      bool          // the sender stood still: this step comes long after it was asked for
+	actions    []Action
 }
 
 // New returns a sender that knows nothing but its settings.
 func New(set Settings) *Sender {
 	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never, endAt: never,
-		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
+		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, roster: newRoster(), held: map[MessageID]*message{},
 		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, proven: map[int]int{}, arrivals: make([]meter, len(set.Tenants)),
 		usual: make([]timing, len(set.Classes)), slowness: 1}
 	for _, t := range set.Tenants {
@@ -207,12 +213,16 @@
 
 func (s *Sender) act(a Action) { s.actions = append(s.actions, a) }
 
+// destination returns the destination of a number, awake, a new one if it is not known.
 func (s *Sender) destination(n int) *destination {
+	if last, known := s.roster.last(n); known {
+		s.wake(s.roster.list[last].dest)
+	}
 	d := s.dests[n]
 	if d == nil {
-		d = &destination{seq: len(s.order), firstDue: never}
-		s.dests[n] = d
-		s.order = append(s.order, d)
+		s.epSeq++
+		d = s.newDestination(n)
+		d.seq = s.epSeq
 	}
 	return d
 }
@@ -229,7 +239,7 @@
 	m := &message{id: e.ID, dest: s.destination(e.Destination), class: &s.set.Classes[e.Class], classNo: e.Class, tenant: e.Tenant,
 		deadline: s.now + e.TimeLeft, tries: e.Before.Attempts, mayRun: never}
 	if e.Before.MayRun {
-		m.mayRun, m.mayRunAt = s.now-e.Before.Ago, s.endpoints[e.Before.At]
+		m.mayRun, m.mayRunAt = s.now-e.Before.Ago, s.endpoint(e.Before.At)
 	}
 	if m.class.KeepOrder && e.OrderKey != "" {
 		s.dropTurns()
@@ -271,7 +281,7 @@
 	}
 }
 
-func bySeq(a, b *destination) int { return a.seq - b.seq }
+func bySeq(a, b *destination) int { return cmp.Compare(a.seq, b.seq) }
 
 // endsNext is the next moment at which a message may have to be ended by the clock alone: its due time, or the end of its
 // key's window. What is spent already is due at once.
@@ -343,69 +353,25 @@
 			s.callers = append(s.callers, c.ep)
 		}
 	}
-	slices.SortFunc(s.callers, func(a, b *endpoint) int { return cmp.Or(bySeq(a.dest, b.dest), a.seq-b.seq) })
+	slices.SortFunc(s.callers, inOrder)
 	return s.callers
 }
 
-// list brings the endpoints up to date. A drained or missing one gets nothing new from this step on.
-func (s *Sender) list(e Listed) {
-	if e.Whole {
-		for _, d := range s.order {
-			for _, ep := range d.endpoints {
-				ep.listed = false
-				s.setGone(ep, true)
-			}
-		}
-	}
-	for _, entry := range e.Entries {
-		ep := s.endpoints[entry.Endpoint]
-		if ep == nil {
-			d := s.destination(entry.Destination)
-			s.epSeq++
-			ep = &endpoint{id: entry.Endpoint, seq: s.epSeq, dest: d, kind: entry.Kind, lane: &lane{},
-				services: make([]service, len(s.set.Classes))}
-			if !s.kind(ep).RoutesApart && len(d.endpoints) > 0 {
-				ep.lane = d.endpoints[0].lane
-			}
-			s.inherit(ep)
-			s.endpoints[entry.Endpoint] = ep
-			d.endpoints = append(d.endpoints, ep)
-		}
-		ep.zone, ep.rate, ep.listed = entry.Zone, 0, !entry.Draining && !entry.Gone
-		s.setGone(ep, entry.Gone)
-		if s.set.RatesListed {
-			ep.rate = entry.ListedRate
-		}
-	}
-	s.forgetGone()
-}
-
-// setGone notes whether the list has lost an endpoint.
-func (s *Sender) setGone(ep *endpoint, gone bool) {
-	if gone && !ep.gone {
-		ep.goneAt = s.now
-		s.gone = append(s.gone, ep)
-	} else if !gone {
-		s.gone = without(s.gone, ep)
-	}
-	ep.gone = gone
-}
-
 // forgetGone drops endpoints that have long been gone, once nothing of them is out, no wait told by them lasts and no
 // message may have run there, so that endpoints that are replaced all day long leave nothing behind. The last of a
 // destination stays until another comes, as a new one takes its lane and its failures from those there.
 func (s *Sender) forgetGone() {
-	for _, ep := range slices.Clone(s.gone) {
-		d := ep.dest
+	s.gone = slices.DeleteFunc(s.gone, func(g departure) bool {
+		ep, d := g.ep, g.ep.dest
 		if s.now-ep.goneAt < goneMemory || len(ep.calls) > 0 || s.now < ep.lane.pace.haltUntil || len(d.endpoints) == 1 ||
 			slices.ContainsFunc(d.msgs, func(m *message) bool { return m.mayRunAt == ep }) {
-			continue
+			return false
 		}
-		s.gone = without(s.gone, ep)
 		d.endpoints = without(d.endpoints, ep)
 		delete(s.endpoints, ep.id)
 		s.act(Forgot{Endpoint: ep.id})
-	}
+		return true
+	})
 }
 
 // soonest is the least of what is told of a destination's listed endpoints, never if there are none.
@@ -524,7 +490,18 @@
 func (c *call) class() int { return c.attempts[0].msg.classNo }
 
 // service is how the call's endpoint treats its class.
-func (c *call) service() *service { return &c.ep.services[c.class()] }
+func (c *call) service() *service { return c.ep.service(c.class()) }
+
+// service is how an endpoint treats a class.
+func (ep *endpoint) service(class int) *service {
+	for v := ep.services; v != nil; v = v.next {
+		if v.class == class {
+			return v
+		}
+	}
+	ep.services = &service{class: class, next: ep.services}
+	return ep.services
+}
 
 // cancel calls off what a call, if there is one, has out.
 func (s *Sender) cancel(c *call) {
