--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -94,6 +94,7 @@
 		MaxConns: calls, Finish: func(c *exchange.Call, r exchange.Result) { s.exchange.Finish(c, r) }})
 	s.exchange = exchange.New(exchange.Config{Settings: cfg.settings, Classes: cfg.names.Classes,
 		Tenants: cfg.names.Tenants, Known: cfg.known, Ledger: led, Caller: s.pool, Platform: platformSides{s.notices, s.registry.Watch}, Log: log})
+	cfg.known = exchange.Listing{} // the exchange's from here on, which lets go of it as soon as it can
 	s.intake = intake.New(intake.Config{Exchange: s.exchange, Ready: s.isReady, Classes: cfg.names.Classes,
 		MaxConns: clients, Slow: slowClient, Idle: idleClient, Log: log})
 	return s, nil
--- /dev/null
+++ b/internal/exchange/directory_test.go
@@ -0,0 +1,124 @@
+package exchange
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"eiderhaven/rules"
+)
+
+// plain is a directory as two maps, which is what the compact one must come to.
+type plain struct {
+	last  rules.EndpointID
+	ids   map[string]rules.EndpointID
+	hosts map[rules.EndpointID]Host
+	dests map[int]bool
+}
+
+func (d *plain) update(l Listing) (out rules.Listed, left []Peer) {
+	out = rules.Listed{Whole: l.Whole, Entries: []rules.Entry{}}
+	named := map[rules.EndpointID]bool{}
+	for _, h := range l.Hosts {
+		id := d.ids[h.Name]
+		old := d.hosts[id]
+		if h.Gone {
+			if id == 0 {
+				continue
+			}
+			h = old
+			h.Gone = true
+		}
+		if id == 0 {
+			d.last++
+			id = d.last
+			d.ids[h.Name] = id
+		} else if h.Gone || old.Dial != h.Dial {
+			left = append(left, old.Peer)
+		}
+		named[id], d.hosts[id], d.dests[h.Dest] = true, h, true
+		out.Entries = append(out.Entries, rules.Entry{Endpoint: id, Destination: h.Dest, Kind: h.Kind, Zone: h.Zone, ListedRate: h.Rate,
+			Draining: h.Draining && !h.Gone, Gone: h.Gone})
+	}
+	if l.Whole {
+		for _, id := range slices.Sorted(maps.Keys(d.hosts)) {
+			if !named[id] {
+				left = append(left, d.hosts[id].Peer)
+			}
+		}
+	}
+	return out, left
+}
+
+// Over random lists, whole and as changes, with endpoints that drain, leave, move, come back, are named twice and are forgotten,
+// some of them with names and numbers that fit no row, a directory says what two plain maps say.
+func TestADirectorySaysWhatPlainMapsSay(t *testing.T) {
+	for seed := range uint64(10) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		size := 3 << seed // to 1,500
+		name := func() string {
+			n := rng.IntN(size)
+			if n%97 == 5 {
+				return strings.Repeat(fmt.Sprint("long ", n), 1+n%4000)
+			}
+			return fmt.Sprint("s-", n)
+		}
+		d, want := newDirectory(), &plain{ids: map[string]rules.EndpointID{}, hosts: map[rules.EndpointID]Host{}, dests: map[int]bool{}}
+		for step := range 60 {
+			l := Listing{Whole: rng.IntN(4) == 0}
+			for range rng.IntN(1 + size) {
+				h := Host{Peer: Peer{name(), fmt.Sprint("10.0.0.1:", rng.IntN(3))}, Dest: rng.IntN(300) - 100, Kind: rng.IntN(4), Zone: rng.IntN(8),
+					Rate: rng.Float64(), Draining: rng.IntN(8) == 0, Gone: rng.IntN(6) == 0}
+				switch rng.IntN(100) {
+				case 0:
+					h.Dest = 1<<40 + rng.IntN(9)
+				case 1:
+					h.Kind = oddKind + rng.IntN(3)
+				case 2:
+					h.Zone = 1<<16 + rng.IntN(3)
+				case 3:
+					h.Name, h.Dial = "", ""
+				}
+				l.Hosts = append(l.Hosts, h)
+			}
+			got, left := d.update(l)
+			wantOut, wantLeft := want.update(l)
+			if diff := cmp.Diff(wantOut, got) + cmp.Diff(wantLeft, left); diff != "" {
+				t.Fatalf("seed %d, step %d: %s", seed, step, diff)
+			}
+			for id := range want.hosts {
+				if rng.IntN(3) == 0 {
+					d.forget(id)
+					d.forget(id)
+					delete(want.ids, want.hosts[id].Name)
+					delete(want.hosts, id)
+				}
+			}
+			for id := rules.EndpointID(0); id < want.last+2; id++ {
+				h := want.hosts[id]
+				h.Draining, h.Gone = false, false
+				got := d.host(id)
+				got.Draining, got.Gone = false, false
+				if got != h {
+					t.Fatalf("seed %d, step %d: host %d is %.60v, want %.60v", seed, step, id, got, h)
+				}
+				if n := d.id(h.Name); n != want.ids[h.Name] {
+					t.Fatalf("seed %d, step %d: %.30q has number %d, want %d", seed, step, h.Name, n, want.ids[h.Name])
+				}
+			}
+			for dest := -130; dest < 230; dest++ {
+				if d.knows(dest) != want.dests[dest] {
+					t.Fatalf("seed %d, step %d: destination %d is known: %v", seed, step, dest, d.knows(dest))
+				}
+			}
+			if len(d.rows) > 2*len(want.hosts)+64 || d.text.size > 2*(d.text.size-d.text.dead)+chunk {
+				t.Fatalf("seed %d, step %d: %d rows for %d endpoints, %d bytes of text, %d of them dead", seed, step, len(d.rows), len(want.hosts), d.text.size, d.text.dead)
+			}
+		}
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -125,7 +125,7 @@
 	sender   *rules.Sender
 	held     map[string]*held
 	flights  []*flight // out, oldest first
-	dir      directory
+	dir      *directory
 	past     past
 	events   []rules.Event
 	fresh    []*held // taken in since the last step, not answered yet
@@ -161,6 +161,7 @@
 // Call it once, before Run.
 func (x *Exchange) Recover() {
 	x.listed(x.cfg.Known)
+	x.cfg.Known = Listing{} // the directory has it
 	x.drain()
 	for _, n := range x.cfg.Ledger.Notices() {
 		x.cfg.Platform.Tell(n)
@@ -189,7 +190,7 @@
 	}
 	before := rules.Before{Attempts: o.Attempts, Failed: o.Failed, MayRun: o.MayRun}
 	if o.MayRun {
-		before.Ago, before.At = max(0, time.Since(o.At)), x.dir.ids[o.Host]
+		before.Ago, before.At = max(0, time.Since(o.At)), x.dir.id(o.Host)
 	}
 	x.events = append(x.events, rules.Arrived{ID: rules.MessageID(m.ID), Destination: m.Dest, Class: class,
 		Tenant: x.tenant(m.Tenant), Before: before})
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -778,8 +778,9 @@
 		w.finished(c.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.OK}}})
 		w.later(time.Second)
 	}
-	if n := len(w.Exchange.dir.ids) + len(w.Exchange.dir.hosts); n > 100 {
-		t.Errorf("%d numbers and hosts kept of 3000 endpoints", n)
+	dir := w.Exchange.dir
+	if n := dir.byName.Len() + len(dir.rows) - dir.dead; n > 100 || len(dir.rows) > 200 || len(dir.text.chunks) > 2 {
+		t.Errorf("%d numbers and hosts kept of 3000 endpoints, in %d rows and %d chunks", n, len(dir.rows), len(dir.text.chunks))
 	}
 	if n := len(w.held) + len(w.flights) + len(w.fresh); n != 0 {
 		t.Errorf("%d messages and calls kept", n)
--- a/internal/exchange/memory_bench_test.go
+++ b/internal/exchange/memory_bench_test.go
@@ -38,8 +38,8 @@
 	for b.Loop() {
 		start := inUse()
 		d := newDirectory()
-		first := timed(&d)
-		again := timed(&d)
+		first := timed(d)
+		again := timed(d)
 		b.ReportMetric((inUse()-start)/listed, "B/listed")
 		b.ReportMetric(first, "ms/first")
 		b.ReportMetric(again, "ms/again")
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -50,7 +50,7 @@
 	x.counts.In++
 	class, known := x.classes[m.Class]
 	switch {
-	case !known || !x.dir.dests[m.Dest]:
+	case !known || !x.dir.knows(m.Dest):
 		x.counts.Unknown++
 		reply <- Answer{Verdict: Unknown}
 		return
@@ -109,7 +109,7 @@
 		case rules.Recall:
 			x.recall(attempt(a.ID, a.Attempt))
 		case rules.CloseIdle:
-			x.cfg.Caller.CloseIdle(x.dir.hosts[a.Endpoint].Peer)
+			x.cfg.Caller.CloseIdle(x.dir.host(a.Endpoint).Peer)
 		case rules.Forgot:
 			x.dir.forget(a.Endpoint)
 		case rules.WakeAfter:
@@ -208,7 +208,7 @@
 		if h == nil {
 			continue
 		}
-		host := x.dir.hosts[s.Endpoint]
+		host := x.dir.host(s.Endpoint)
 		patience := x.moment(h.msg.Deadline) - now
 		if s.Timeout > 0 {
 			patience = min(patience, s.Timeout)
@@ -243,7 +243,7 @@
 
 // start records a call and hands it out. One that must not or cannot go out ends at once as not sent.
 func (x *Exchange) start(f *flight) {
-	host := x.dir.hosts[f.ep]
+	host := x.dir.host(f.ep)
 	var ids []string
 	var nums []int
 	misrouted := host.Dial == ""
--- a/rules/memory_bench_test.go
+++ b/rules/memory_bench_test.go
@@ -19,7 +19,7 @@
 func whole(n int) Listed {
 	l := Listed{Whole: true, Entries: make([]Entry, n)}
 	for i := range l.Entries {
-		l.Entries[i] = Entry{Endpoint: EndpointID(i + 1), Destination: i, Kind: i % 3, Zone: i % 7, ListedRate: 1 + float64(i%50)}
+		l.Entries[i] = Entry{Endpoint: EndpointID(i + 1), Destination: i, Kind: i % 2, Zone: i % 7, ListedRate: 1 + float64(i%50)}
 	}
 	return l
 }
