--- a/rules/harness_test.go
+++ b/rules/harness_test.go
@@ -54,6 +54,7 @@
 		change(&set)
 	}
 	b := &bench{t: t, s: New(set), now: 100 * sec}
+	b.s.restAfter = 1e6 * sec // tests hold on to what they look at
 	if len(entries) == 0 {
 		entries = []Entry{{Endpoint: 11, Destination: 1}}
 	}
--- a/rules/record.go
+++ b/rules/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
+	"time"
 
 	"eiderhaven/internal/index"
 )
@@ -11,24 +13,37 @@
 // a note or an outcome is about it until nothing of it is held or out; else it is a record for each endpoint. It decides nothing: what
 // comes awake is, to the last bit, what went to rest.
 
+const (
+	restAfter = 5 * time.Second // a destination is looked at this long after it woke, and again as often until it rests
+	restMost  = 64              // as many in one step, so that none takes long
+)
+
 // record is one endpoint of a destination at rest.
 type record struct {
-	id      EndpointID
-	seq     uint32
-	dest    int32
-	next    uint32 // the destination's next endpoint, in the order first heard of; after the last comes the first
-	rate    float64
-	zone    uint16
-	kind    uint8
-	listed  bool
-	missing bool // from the whole list that is just taken in
-	used    bool // else it is free
+	id    EndpointID
+	seq   uint32
+	dest  int32
+	next  uint32 // the destination's next endpoint, in the order first heard of; after the last comes the first
+	state uint32 // of the destination, among the states, at its last endpoint; 0 for none
+	zone  uint16
+	kind  uint8
+	marks mark
+	rate  float64
 }
 
+type mark uint8
+
+const (
+	used    mark = 1 << iota // else the record is free
+	listed                   // and not draining
+	missing                  // from the whole list that is just taken in
+)
+
 // roster is all records, with the ways to find them.
 type roster struct {
 	list   []record
 	free   []uint32
+	states states
 	byID   *index.Index[EndpointID]
 	byDest *index.Index[int32] // the last endpoint of each
 }
@@ -70,7 +85,7 @@
 	} else {
 		r.list = append(r.list, record{})
 	}
-	x.used, x.next = true, at
+	x.marks, x.next = x.marks|used, at
 	if last, known := r.byDest.Find(x.dest); known {
 		x.next, r.list[last].next = r.list[last].next, at
 	}
@@ -87,7 +102,7 @@
 		all = append(all, r.list[at])
 		r.byID.Remove(r.list[at].id)
 		r.free = append(r.free, at)
-		r.list[at].used = false
+		r.list[at].marks = 0
 		if at == last {
 			return all
 		}
@@ -109,20 +124,80 @@
 		return
 	}
 	d := s.newDestination(int(dest))
-	for _, r := range s.roster.take(last) {
+	all := s.roster.take(last)
+	for _, r := range all {
 		ep := s.join(d, r.id, r.seq, int(r.kind))
-		ep.zone, ep.rate, ep.listed = int(r.zone), r.rate, r.listed
-		if r.missing {
+		ep.zone, ep.rate, ep.listed = int(r.zone), r.rate, r.marks&listed != 0
+		if r.marks&missing != 0 {
 			s.missed = append(s.missed, s.leave(ep))
 		}
 	}
 	d.seq = d.endpoints[0].seq
+	if state := all[len(all)-1].state; state != 0 {
+		newPacker(s.roster.states.get(state), true).destination(d)
+		s.roster.states.drop(state)
+	}
+}
+
+// rest lays a destination down, unless something of it is held, out, gone or cannot be told by a record.
+func (s *Sender) rest(d *destination) bool {
+	if len(d.msgs) > 0 || len(d.endpoints) == 0 || d.pinned {
+		return false
+	}
+	for i, ep := range d.endpoints {
+		shared := i == 0 || !s.kind(ep).RoutesApart // what join makes of it
+		if len(ep.calls) > 0 || ep.gone || !fits(d.number, ep.kind, ep.zone) || (ep.lane == d.endpoints[0].lane) != shared {
+			return false
+		}
+	}
+	p := newPacker(s.packed[:0], false)
+	p.destination(d)
+	s.packed = p.text
+	state, room := s.roster.states.put(p.text)
+	if !room {
+		return false
+	}
+	for i, ep := range d.endpoints {
+		r := record{id: ep.id, seq: ep.seq, dest: int32(d.number), zone: uint16(ep.zone), kind: uint8(ep.kind), rate: ep.rate}
+		if ep.listed {
+			r.marks = listed
+		}
+		if i == len(d.endpoints)-1 {
+			r.state = state
+		}
+		s.roster.add(r)
+		delete(s.endpoints, ep.id)
+	}
+	delete(s.dests, d.number)
+	return true
+}
+
+// restIdle lays down what has come to rest, of what woke long enough ago.
+func (s *Sender) restIdle() {
+	for range min(restMost, len(s.awake)) {
+		w := s.awake[0]
+		if s.now < w.at {
+			return
+		}
+		s.awake[0].d = nil
+		s.awake = s.awake[1:]
+		if !s.rest(w.d) {
+			s.awake = append(s.awake, wakeful{w.d, s.now + s.restAfter})
+		}
+	}
+}
+
+// wakeful is a destination that is awake, and when to look at it.
+type wakeful struct {
+	d  *destination
+	at time.Duration
 }
 
 // newDestination returns a destination that nothing is known of.
 func (s *Sender) newDestination(n int) *destination {
 	d := &destination{number: n, firstDue: never}
 	s.dests[n] = d
+	s.awake = append(s.awake, wakeful{d, s.now + s.restAfter})
 	return d
 }
 
@@ -141,21 +216,27 @@
 
 // note takes an entry of the list in without waking anything; it is false if that cannot be.
 func (s *Sender) note(e Entry) bool {
-	listed := !e.Draining && !e.Gone
+	marks := used
+	if !e.Draining {
+		marks |= listed
+	}
 	if at, known := s.roster.byID.Find(e.Endpoint); known {
 		r := &s.roster.list[at]
 		if e.Gone || !fits(int(r.dest), int(r.kind), e.Zone) {
 			return false
 		}
-		r.zone, r.rate, r.listed, r.missing = uint16(e.Zone), s.rateOf(e), listed, false
+		r.zone, r.rate, r.marks = uint16(e.Zone), s.rateOf(e), marks
 		return true
 	}
 	if e.Gone || !fits(e.Destination, e.Kind, e.Zone) || s.dests[e.Destination] != nil || s.endpoints[e.Endpoint] != nil {
 		return false
 	}
+	if last, known := s.roster.byDest.Find(int32(e.Destination)); known && s.roster.list[last].state != 0 {
+		return false // it takes over what is known of the others
+	}
 	s.epSeq++
 	s.roster.add(record{id: e.Endpoint, seq: s.epSeq, dest: int32(e.Destination), zone: uint16(e.Zone), kind: uint8(e.Kind),
-		rate: s.rateOf(e), listed: listed})
+		rate: s.rateOf(e), marks: marks})
 	return true
 }
 
@@ -192,11 +273,11 @@
 			}
 		}
 		for at := range s.roster.list {
-			s.roster.list[at].missing = true
+			s.roster.list[at].marks |= missing
 		}
 		s.roster.reserve(len(e.Entries))
 	}
-	missing := len(s.gone)
+	marked := len(s.gone)
 	for _, entry := range e.Entries {
 		if s.note(entry) {
 			continue
@@ -213,14 +294,14 @@
 	}
 	if e.Whole {
 		for _, r := range s.roster.list {
-			if r.used && r.missing {
+			if r.marks&(used|missing) == used|missing {
 				s.wake(r.dest)
 			}
 		}
-		lost := append(slices.Clone(s.gone[before:missing]), s.missed...)
+		lost := append(slices.Clone(s.gone[before:marked]), s.missed...)
 		lost = slices.DeleteFunc(lost, departure.void)
 		slices.SortFunc(lost, func(a, b departure) int { return inOrder(a.ep, b.ep) })
-		s.gone, s.missed = slices.Concat(s.gone[:before], lost, s.gone[missing:]), nil
+		s.gone, s.missed = slices.Concat(s.gone[:before], lost, s.gone[marked:]), nil
 	}
 	s.gone = slices.DeleteFunc(s.gone, departure.void)
 	s.forgetGone()
@@ -238,3 +319,53 @@
 	}
 	ep.gone = gone
 }
+
+// states is what is known of destinations at rest, packed, by size: to 256 bytes in steps of eight, then doubling. A state's
+// number is its size and its place among those of that size.
+type states [64]struct {
+	size int
+	data []byte
+	free []uint32
+}
+
+const placeBits = 24
+
+// put keeps a state and returns its number, 0 for an empty one; it is false if there are no numbers left.
+func (t *states) put(text []byte) (no uint32, room bool) {
+	if len(text) == 0 {
+		return 0, true
+	}
+	class := (len(text) + 7) / 8
+	size := 8 * class
+	if class > 32 {
+		class = 32 + bits.Len(uint((len(text)-1)/256))
+		size = 256 << (class - 32)
+	}
+	if class >= len(t) {
+		return 0, false
+	}
+	c := &t[class]
+	c.size = size
+	place := uint32(len(c.data) / size)
+	if n := len(c.free); n > 0 {
+		place, c.free = c.free[n-1], c.free[:n-1]
+	} else if place>>placeBits != 0 {
+		return 0, false
+	} else {
+		c.data = append(c.data, make([]byte, size)...)
+	}
+	at := c.data[int(place)*size:][:size]
+	clear(at[copy(at, text):]) // zeros mean nothing at the end
+	return uint32(class)<<placeBits | place, true
+}
+
+// get is a state, with zeros at its end, until the next change.
+func (t *states) get(no uint32) []byte {
+	c := &t[no>>placeBits]
+	return c.data[int(no&(1<<placeBits-1))*c.size:][:c.size]
+}
+
+func (t *states) drop(no uint32) {
+	c := &t[no>>placeBits]
+	c.free = append(c.free, no&(1<<placeBits-1))
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -136,8 +136,7 @@
 
 // Step takes what has come in and returns what to do about it now.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
-	s.now, s.actions = now, nil
-	s.stood = now-s.wakeAt > minLate
+	s.now, s.actions, s.stood = now, nil, now-s.wakeAt > minLate
 	if now >= s.wakeAt {
 		s.wakeAt = never
 	}
@@ -161,6 +160,7 @@
 	s.yieldConnections()
 	s.makeRoom()
 	s.scheduleWake()
+	s.restIdle()
 	return s.actions
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -98,6 +98,7 @@
 
 type destination struct {
 	number    int
+	pinned    bool   // an endpoint of it is told of in a message for another
 	seq       uint32 // in the order first heard of
 	endpoints []*endpoint
 	msgs      []*message    // held, in order of arrival
@@ -166,6 +167,9 @@
 	endpoints  map[EndpointID]*endpoint // awake
 	dests      map[int]*destination     // awake
 	roster     *roster                  // the others
+	awake      []wakeful                // the first to be looked at first
+	restAfter  time.Duration            // how soon a destination is looked at after it woke
+	packed     []byte                   // reused by rest
 	waiting    []*destination           // those that have messages, in the order first heard of
 	endAt      time.Duration            // no message falls due to be ended before; may be early
 	dues       dueHeap                  // what is held, the earliest deadline first; what has ended is dropped when it comes up
@@ -199,7 +203,7 @@
 // New returns a sender that knows nothing but its settings.
 func New(set Settings) *Sender {
 	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never, endAt: never,
-		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, roster: newRoster(), held: map[MessageID]*message{},
+		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, roster: newRoster(), restAfter: restAfter, held: map[MessageID]*message{},
 		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, proven: map[int]int{}, arrivals: make([]meter, len(set.Tenants)),
 		usual: make([]timing, len(set.Classes)), slowness: 1}
 	for _, t := range set.Tenants {
@@ -240,6 +244,9 @@
 		deadline: s.now + e.TimeLeft, tries: e.Before.Attempts, mayRun: never}
 	if e.Before.MayRun {
 		m.mayRun, m.mayRunAt = s.now-e.Before.Ago, s.endpoint(e.Before.At)
+		if at := m.mayRunAt; at != nil && at.dest != m.dest {
+			at.dest.pinned = true
+		}
 	}
 	if m.class.KeepOrder && e.OrderKey != "" {
 		s.dropTurns()
