--- a/internal/exchange/directory_test.go
+++ b/internal/exchange/directory_test.go
@@ -116,6 +116,9 @@
 					t.Fatalf("seed %d, step %d: destination %d is known: %v", seed, step, dest, d.knows(dest))
 				}
 			}
+			if odd := slices.DeleteFunc(slices.Clone(d.rows), func(r row) bool { return r.kind != oddKind }); len(odd) != len(d.odd) {
+				t.Fatalf("seed %d, step %d: %d hosts kept of %d that do not fit", seed, step, len(d.odd), len(odd))
+			}
 			if len(d.rows) > 2*len(want.hosts)+64 || d.text.size > 2*(d.text.size-d.text.dead)+chunk {
 				t.Fatalf("seed %d, step %d: %d rows for %d endpoints, %d bytes of text, %d of them dead", seed, step, len(d.rows), len(want.hosts), d.text.size, d.text.dead)
 			}
