--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -155,6 +156,7 @@
 	case <-time.After(listWait):
 	}
 	s.exchange.Recover()
+	debug.FreeOSMemory() // reading a long list takes many times the place it has in the end
 	go s.exchange.Run()
 	ln, err := net.Listen("tcp", s.cfg.listen)
 	if err != nil {
