--- a/rules/memory_bench_test.go
+++ b/rules/memory_bench_test.go
@@ -62,3 +62,18 @@
 		runtime.KeepAlive(s)
 	}
 }
+
+// BenchmarkWakeAndRest is what it costs that a destination used once wakes for a message and rests again.
+func BenchmarkWakeAndRest(b *testing.B) {
+	s, now := New(testSettings()), 24*time.Hour
+	s.Step(now, []Event{whole(210_000)})
+	id := MessageID("m")
+	s.Step(now, []Event{Arrived{ID: id, Destination: 7, Class: safe, TimeLeft: 16 * sec}})
+	s.Step(now+7*ms, []Event{Ended{ID: id, Endpoint: 8, Outcome: OK, Elapsed: 7 * ms, Over: true}})
+	for b.Loop() {
+		if !s.rest(s.destination(7)) {
+			b.Fatal("it does not rest")
+		}
+	}
+	b.ReportMetric(float64(len(s.packed)), "B/state")
+}
--- a/rules/record.go
+++ b/rules/record.go
@@ -69,14 +69,6 @@
 	}
 }
 
-// last is the record of the last endpoint of a destination at rest.
-func (r *roster) last(dest int) (at uint32, known bool) {
-	if int(int32(dest)) != dest {
-		return 0, false
-	}
-	return r.byDest.Find(int32(dest))
-}
-
 // add appends an endpoint to a destination at rest, which may be new.
 func (r *roster) add(x record) {
 	at := uint32(len(r.list))
@@ -111,17 +103,21 @@
 
 // endpoint returns a listed endpoint, awake, nil for one not known.
 func (s *Sender) endpoint(id EndpointID) *endpoint {
-	if at, known := s.roster.byID.Find(id); known {
-		s.wake(s.roster.list[at].dest)
+	ep := s.endpoints[id]
+	if ep == nil {
+		if at, known := s.roster.byID.Find(id); known {
+			s.wake(s.roster.list[at].dest)
+			ep = s.endpoints[id]
+		}
 	}
-	return s.endpoints[id]
+	return ep
 }
 
-// wake makes a destination at rest one with a state, the one that it had.
-func (s *Sender) wake(dest int32) {
+// wake makes a destination at rest one with a state, the one that it had, and returns it, nil for one that is not at rest.
+func (s *Sender) wake(dest int32) *destination {
 	last, known := s.roster.byDest.Find(dest)
 	if !known {
-		return
+		return nil
 	}
 	d := s.newDestination(int(dest))
 	all := s.roster.take(last)
@@ -137,6 +133,7 @@
 		newPacker(s.roster.states.get(state), true).destination(d)
 		s.roster.states.drop(state)
 	}
+	return d
 }
 
 // rest lays a destination down, unless something of it is held, out, gone or cannot be told by a record.
--- a/rules/state.go
+++ b/rules/state.go
@@ -219,10 +219,10 @@
 
 // destination returns the destination of a number, awake, a new one if it is not known.
 func (s *Sender) destination(n int) *destination {
-	if last, known := s.roster.last(n); known {
-		s.wake(s.roster.list[last].dest)
-	}
 	d := s.dests[n]
+	if d == nil && int(int32(n)) == n {
+		d = s.wake(int32(n))
+	}
 	if d == nil {
 		s.epSeq++
 		d = s.newDestination(n)
