--- a/rules/record.go
+++ b/rules/record.go
@@ -39,6 +39,16 @@
 	missing                  // from the whole list that is just taken in
 )
 
+// atRest is the part of a sender that keeps what rests, and what is to.
+type atRest struct {
+	roster    *roster
+	awake     []wakeful     // the first to be looked at first
+	restAfter time.Duration // how soon a destination is looked at after it woke
+	packed    []byte        // reused by rest
+	missed    []departure   // of those that were at rest, in the whole list that is just taken in
+	leaves    int           // of endpoints from the list so far
+}
+
 // roster is all records, with the ways to find them.
 type roster struct {
 	list   []record
@@ -251,13 +261,13 @@
 	no int // of all departures
 }
 
-func (g departure) void() bool { return !g.ep.gone || g.ep.departed != g.no }
+func (g departure) void() bool { return !g.ep.gone || g.ep.left != g.no }
 
 // leave notes that the list has lost an endpoint.
 func (s *Sender) leave(ep *endpoint) departure {
-	s.departures++
-	ep.listed, ep.gone, ep.goneAt, ep.departed = false, true, s.now, s.departures
-	return departure{ep, s.departures}
+	s.leaves++
+	ep.listed, ep.gone, ep.goneAt, ep.left = false, true, s.now, s.leaves
+	return departure{ep, s.leaves}
 }
 
 // list brings the endpoints up to date. A drained or missing one gets nothing new from this step on.
--- a/rules/record_test.go
+++ b/rules/record_test.go
@@ -83,7 +83,7 @@
 // All that is known of a destination comes back to the last bit, whatever it is: each field of it that is new has to be packed too.
 func TestRestLosesNothing(t *testing.T) {
 	apart := map[string]bool{"number": true, "endpoints": true, "msgs": true, "firstDue": true, "pinned": true, // of a destination
-		"id": true, "seq": true, "zone": true, "kind": true, "dest": true, "lane": true, "listed": true, "gone": true, "goneAt": true, "departed": true,
+		"id": true, "seq": true, "zone": true, "kind": true, "dest": true, "lane": true, "listed": true, "gone": true, "goneAt": true, "left": true,
 		"rate": true, "calls": true, "services": true, "inflight": true, "class": true, "next": true}
 	all, bits := cmp.Exporter(func(reflect.Type) bool { return true }), cmp.Comparer(func(a, b float64) bool { return math.Float64bits(a) == math.Float64bits(b) })
 	for seed := range uint64(2000) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -63,18 +63,18 @@
 
 // endpoint is one place that takes calls, with what this sender has seen of it.
 type endpoint struct {
-	id       EndpointID
-	seq      uint32 // in the order first heard of
-	zone     int
-	kind     int
-	dest     *destination
-	lane     *lane
-	listed   bool
-	gone     bool // from the list, not just draining
-	goneAt   time.Duration
-	departed int     // the number of that
-	rate     float64 // listed rate
-	calls    []*call // out, oldest first
+	id     EndpointID
+	seq    uint32 // in the order first heard of
+	zone   int
+	kind   int
+	dest   *destination
+	lane   *lane
+	listed bool
+	gone   bool // from the list, not just draining
+	goneAt time.Duration
+	left   int     // the number of that, of all that left the list
+	rate   float64 // listed rate
+	calls  []*call // out, oldest first
 	timing
 	services *service // the first of those that were asked for
 
@@ -98,8 +98,8 @@
 
 type destination struct {
 	number    int
-	pinned    bool   // an endpoint of it is told of in a message for another
 	seq       uint32 // in the order first heard of
+	pinned    bool   // an endpoint of it is told of in a message for another
 	endpoints []*endpoint
 	msgs      []*message    // held, in order of arrival
 	firstDue  time.Duration // none of them is due before; may be early
@@ -161,49 +161,45 @@
 
 // Sender decides for one sender; it knows only what its own events told it.
 type Sender struct {
-	set        Settings
-	rng        *rand.Rand
-	now        time.Duration
-	endpoints  map[EndpointID]*endpoint // awake
-	dests      map[int]*destination     // awake
-	roster     *roster                  // the others
-	awake      []wakeful                // the first to be looked at first
-	restAfter  time.Duration            // how soon a destination is looked at after it woke
-	packed     []byte                   // reused by rest
-	waiting    []*destination           // those that have messages, in the order first heard of
-	endAt      time.Duration            // no message falls due to be ended before; may be early
-	dues       dueHeap                  // what is held, the earliest deadline first; what has ended is dropped when it comes up
-	lapsedAt   time.Duration            // paces lapse as of then, whenever they are next looked at
-	held       map[MessageID]*message
-	attempts   map[attemptKey]*attempt
-	gone       []departure // oldest first
-	missed     []departure // of those that were at rest, in the whole list that is just taken in
-	turns      map[string]*turn
-	turnsLeft  int      // when they were last looked through
-	calls      []*call  // out, oldest first; each holds a slot
-	usual      []timing // of all endpoints, by class
-	arrivals   []meter
-	total      meter
-	cured      meter       // silences that a fresh connection ended
-	quotas     float64     // of all tenants
-	slowness   float64     // how long answers take lately, over what they took before at the same endpoint
-	proven     map[int]int // by kind, answers since a connect was turned away; below startOpen connections are yielded
-	idled      []*endpoint // had a call end in this step
-	callers    []*endpoint // reused by calling
-	overdue    int         // calls out that are unusually late
-	epSeq      uint32      // endpoints and destinations heard of so far
-	departures int         // of endpoints from the list so far
-	wakeAt     time.Duration
-	watchAt    time.Duration
-	endsAt     time.Duration // of the process
-	stood      bool          // the sender stood still: this step comes long after it was asked for
-	actions    []Action
+	atRest
+
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	endpoints map[EndpointID]*endpoint
+	dests     map[int]*destination
+	waiting   []*destination // those that have messages, in the order first heard of
+	endAt     time.Duration  // no message falls due to be ended before; may be early
+	dues      dueHeap        // what is held, the earliest deadline first; what has ended is dropped when it comes up
+	lapsedAt  time.Duration  // paces lapse as of then, whenever they are next looked at
+	held      map[MessageID]*message
+	attempts  map[attemptKey]*attempt
+	gone      []departure // oldest first
+	turns     map[string]*turn
+	turnsLeft int      // when they were last looked through
+	calls     []*call  // out, oldest first; each holds a slot
+	usual     []timing // of all endpoints, by class
+	arrivals  []meter
+	total     meter
+	cured     meter       // silences that a fresh connection ended
+	quotas    float64     // of all tenants
+	slowness  float64     // how long answers take lately, over what they took before at the same endpoint
+	proven    map[int]int // by kind, answers since a connect was turned away; below startOpen connections are yielded
+	idled     []*endpoint // had a call end in this step
+	callers   []*endpoint // reused by calling
+	overdue   int         // calls out that are unusually late
+	epSeq     uint32      // endpoints and destinations heard of so far
+	wakeAt    time.Duration
+	watchAt   time.Duration
+	endsAt    time.Duration // of the process
+	stood     bool          // the sender stood still: this step comes long after it was asked for
+	actions   []Action
 }
 
 // New returns a sender that knows nothing but its settings.
 func New(set Settings) *Sender {
-	s := &Sender{set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never, endAt: never,
-		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, roster: newRoster(), restAfter: restAfter, held: map[MessageID]*message{},
+	s := &Sender{atRest: atRest{roster: newRoster(), restAfter: restAfter}, set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never, endAt: never,
+		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
 		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, proven: map[int]int{}, arrivals: make([]meter, len(set.Tenants)),
 		usual: make([]timing, len(set.Classes)), slowness: 1}
 	for _, t := range set.Tenants {
