The last endpoint of a destination rests when it is gone, too: an empty list wakes nothing

Else a whole list that names nobody, as from a discovery that has just started, would make structs for all 210,000. The order in which what is gone is forgotten stays as it was.

--- a/rules/pack.go
+++ b/rules/pack.go
@@ -142,9 +142,7 @@
 // destination is all that is known of one, but for what the list says and what is held or out.
 func (p *packer) destination(d *destination) {
 	first := d.endpoints[0]
-	d.seq -= first.seq
-	count(p, &d.seq)
-	d.seq += first.seq
+	p.destSeq(&d.seq, first.seq)
 	p.time(&d.retryAt)
 	p.meter(&d.wanted)
 	p.meter(&d.served)
@@ -156,6 +154,13 @@
 	}
 }
 
+// destSeq is the place of a destination among all, mostly that of its first endpoint.
+func (p *packer) destSeq(seq *uint32, first uint32) {
+	*seq -= first
+	count(p, seq)
+	*seq += first
+}
+
 func (p *packer) lane(l *lane) {
 	p.pace(&l.pace)
 	count(p, &l.refusals)
--- a/rules/record.go
+++ b/rules/record.go
@@ -37,6 +37,7 @@
 	used    mark = 1 << iota // else the record is free
 	listed                   // and not draining
 	missing                  // from the whole list that is just taken in
+	absent                   // gone from the list; only the one endpoint of a destination is, as it stays until another comes
 )
 
 // atRest is the part of a sender that keeps what rests, and what is to.
@@ -47,6 +48,13 @@
 	packed    []byte        // reused by rest
 	missed    []departure   // of those that were at rest, in the whole list that is just taken in
 	leaves    int           // of endpoints from the list so far
+	absent    map[EndpointID]absence
+}
+
+// absence is when the list lost an endpoint at rest, and the number of that among all.
+type absence struct {
+	at time.Duration
+	no int
 }
 
 // roster is all records, with the ways to find them.
@@ -134,7 +142,12 @@
 	for _, r := range all {
 		ep := s.join(d, r.id, r.seq, int(r.kind))
 		ep.zone, ep.rate, ep.listed = int(r.zone), r.rate, r.marks&listed != 0
-		if r.marks&missing != 0 {
+		if r.marks&absent != 0 {
+			a := s.absent[ep.id]
+			delete(s.absent, ep.id)
+			ep.gone, ep.goneAt, ep.left = true, a.at, a.no
+			s.gone = slices.Insert(s.gone, s.departed(a.no-1), departure{ep, a.no})
+		} else if r.marks&missing != 0 {
 			s.missed = append(s.missed, s.leave(ep))
 		}
 	}
@@ -146,14 +159,20 @@
 	return d
 }
 
-// rest lays a destination down, unless something of it is held, out, gone or cannot be told by a record.
+// departed is how many of those gone left by a number.
+func (s *Sender) departed(no int) int {
+	i, _ := slices.BinarySearchFunc(s.gone, no+1, func(g departure, no int) int { return cmp.Compare(g.no, no) })
+	return i
+}
+
+// rest lays a destination down, unless something of it is held, out, to be forgotten or cannot be told by a record.
 func (s *Sender) rest(d *destination) bool {
 	if len(d.msgs) > 0 || len(d.endpoints) == 0 || d.pinned {
 		return false
 	}
 	for i, ep := range d.endpoints {
 		shared := i == 0 || !s.kind(ep).RoutesApart // what join makes of it
-		if len(ep.calls) > 0 || ep.gone || !fits(d.number, ep.kind, ep.zone) || (ep.lane == d.endpoints[0].lane) != shared {
+		if len(ep.calls) > 0 || ep.gone && len(d.endpoints) > 1 || !fits(d.number, ep.kind, ep.zone) || (ep.lane == d.endpoints[0].lane) != shared {
 			return false
 		}
 	}
@@ -169,6 +188,12 @@
 		if ep.listed {
 			r.marks = listed
 		}
+		if ep.gone {
+			r.marks = absent
+			s.absent[ep.id] = absence{ep.goneAt, ep.left}
+			at := s.departed(ep.left - 1)
+			s.gone = slices.Delete(s.gone, at, at+1)
+		}
 		if i == len(d.endpoints)-1 {
 			r.state = state
 		}
@@ -229,17 +254,22 @@
 	}
 	if at, known := s.roster.byID.Find(e.Endpoint); known {
 		r := &s.roster.list[at]
-		if e.Gone || !fits(int(r.dest), int(r.kind), e.Zone) {
+		if e.Gone && r.marks&absent == 0 || !fits(int(r.dest), int(r.kind), e.Zone) {
 			return false
 		}
+		if e.Gone {
+			marks = used | absent
+		} else if r.marks&absent != 0 {
+			delete(s.absent, e.Endpoint)
+		}
 		r.zone, r.rate, r.marks = uint16(e.Zone), s.rateOf(e), marks
 		return true
 	}
 	if e.Gone || !fits(e.Destination, e.Kind, e.Zone) || s.dests[e.Destination] != nil || s.endpoints[e.Endpoint] != nil {
 		return false
 	}
-	if last, known := s.roster.byDest.Find(int32(e.Destination)); known && s.roster.list[last].state != 0 {
-		return false // it takes over what is known of the others
+	if last, known := s.roster.byDest.Find(int32(e.Destination)); known && (s.roster.list[last].state != 0 || s.roster.list[last].marks&absent != 0) {
+		return false // it takes over what is known of the others, which may be forgotten then
 	}
 	s.epSeq++
 	s.roster.add(record{id: e.Endpoint, seq: s.epSeq, dest: int32(e.Destination), zone: uint16(e.Zone), kind: uint8(e.Kind),
@@ -272,7 +302,7 @@
 
 // list brings the endpoints up to date. A drained or missing one gets nothing new from this step on.
 func (s *Sender) list(e Listed) {
-	before := len(s.gone)
+	before := s.leaves
 	if e.Whole {
 		for _, d := range s.dests {
 			for _, ep := range d.endpoints {
@@ -284,7 +314,7 @@
 		}
 		s.roster.reserve(len(e.Entries))
 	}
-	marked := len(s.gone)
+	marked := s.leaves
 	for _, entry := range e.Entries {
 		if s.note(entry) {
 			continue
@@ -300,20 +330,71 @@
 		s.setGone(ep, entry.Gone)
 	}
 	if e.Whole {
-		for _, r := range s.roster.list {
-			if r.marks&(used|missing) == used|missing {
-				s.wake(r.dest)
-			}
-		}
-		lost := append(slices.Clone(s.gone[before:marked]), s.missed...)
-		lost = slices.DeleteFunc(lost, departure.void)
-		slices.SortFunc(lost, func(a, b departure) int { return inOrder(a.ep, b.ep) })
-		s.gone, s.missed = slices.Concat(s.gone[:before], lost, s.gone[marked:]), nil
+		s.lose(before, marked)
 	}
 	s.gone = slices.DeleteFunc(s.gone, departure.void)
 	s.forgetGone()
 }
 
+// loss is an endpoint that a whole list does not name, awake or, by its number, at rest.
+type loss struct {
+	dest, seq uint32 // its place in the order of all
+	ep        *endpoint
+	id        EndpointID
+}
+
+// lose takes out what a whole list did not name, in the order of all, after what has been gone for longer and before what the list itself
+// says is gone. The numbers are of the last departures before the list and before its entries.
+func (s *Sender) lose(before, marked int) {
+	var lost []loss
+	for at := range s.roster.list {
+		switch r := &s.roster.list[at]; {
+		case r.marks&(used|missing) != used|missing:
+		case r.marks&absent != 0:
+			r.marks &^= missing
+		case r.next == uint32(at):
+			r.marks = used | absent
+			lost = append(lost, loss{s.destSeq(r), r.seq, nil, r.id})
+		default:
+			s.wake(r.dest)
+		}
+	}
+	old, later := s.departed(before), s.departed(marked)
+	for _, g := range slices.Concat(s.gone[old:later], s.missed) {
+		if !g.void() {
+			lost = append(lost, loss{g.ep.dest.seq, g.ep.seq, g.ep, 0})
+		}
+	}
+	slices.SortFunc(lost, func(a, b loss) int { return cmp.Or(cmp.Compare(a.dest, b.dest), cmp.Compare(a.seq, b.seq)) })
+	last := slices.Clone(s.gone[later:])
+	s.gone, s.missed = s.gone[:old], nil
+	for _, l := range lost {
+		s.leaves++
+		if l.ep == nil {
+			s.absent[l.id] = absence{s.now, s.leaves}
+		} else {
+			l.ep.left = s.leaves
+			s.gone = append(s.gone, departure{l.ep, s.leaves})
+		}
+	}
+	for _, g := range last {
+		if !g.void() {
+			s.leaves++
+			g.ep.left = s.leaves
+			s.gone = append(s.gone, departure{g.ep, s.leaves})
+		}
+	}
+}
+
+// destSeq is the place of a destination at rest, that has one endpoint, in the order of all.
+func (s *Sender) destSeq(r *record) uint32 {
+	seq := r.seq
+	if r.state != 0 {
+		newPacker(s.roster.states.get(r.state), true).destSeq(&seq, r.seq)
+	}
+	return seq
+}
+
 // inOrder is the order of all endpoints: that in which their destinations, and then they, were first heard of.
 func inOrder(a, b *endpoint) int {
 	return cmp.Or(bySeq(a.dest, b.dest), cmp.Compare(a.seq, b.seq))
--- a/rules/state.go
+++ b/rules/state.go
@@ -198,7 +198,7 @@
 
 // New returns a sender that knows nothing but its settings.
 func New(set Settings) *Sender {
-	s := &Sender{atRest: atRest{roster: newRoster(), restAfter: restAfter}, set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never, endAt: never,
+	s := &Sender{atRest: atRest{roster: newRoster(), restAfter: restAfter, absent: map[EndpointID]absence{}}, set: set, rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never, endAt: never,
 		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
 		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, proven: map[int]int{}, arrivals: make([]meter, len(set.Tenants)),
 		usual: make([]timing, len(set.Classes)), slowness: 1}
