--- a/rules/record_test.go
+++ b/rules/record_test.go
@@ -328,8 +328,8 @@
 	}
 	now += goneMemory
 	s.Step(now, []Event{whole(n)})
-	if len(s.dests) != 1 || len(s.absent) != 0 || len(s.gone) != 0 {
-		t.Errorf("%d destinations awake, %d absent, %d gone; want that with a message alone", len(s.dests), len(s.absent), len(s.gone))
+	if len(s.dests) != 0 || len(s.absent) != 0 || len(s.gone) != 0 {
+		t.Errorf("%d destinations awake, %d absent, %d gone; want none", len(s.dests), len(s.absent), len(s.gone))
 	}
 	if got := send(5); len(got) != 1 {
 		t.Errorf("what is back got %v, want one call", got)
