--- a/rules/record_test.go
+++ b/rules/record_test.go
@@ -335,3 +335,128 @@
 		t.Errorf("what is back got %v, want one call", got)
 	}
 }
+
+// plainList keeps what is listed as a list of destinations with their endpoints and a list of what is gone, and nothing at rest.
+type plainList struct {
+	order []*plainDest
+	gone  []*plainEndpoint
+}
+
+type plainDest struct {
+	no  int
+	eps []*plainEndpoint
+}
+
+type plainEndpoint struct {
+	Entry
+	d      *plainDest
+	goneAt time.Duration
+}
+
+func (p *plainList) dest(no int) *plainDest {
+	if i := slices.IndexFunc(p.order, func(d *plainDest) bool { return d.no == no }); i >= 0 {
+		return p.order[i]
+	}
+	p.order = append(p.order, &plainDest{no: no})
+	return p.order[len(p.order)-1]
+}
+
+func (p *plainList) setGone(ep *plainEndpoint, gone bool, now time.Duration) {
+	if gone && !ep.Gone {
+		ep.goneAt = now
+		p.gone = append(p.gone, ep)
+	} else if !gone {
+		p.gone = without(p.gone, ep)
+	}
+	ep.Gone = gone
+}
+
+// list takes a list in and returns what is forgotten.
+func (p *plainList) list(e Listed, now time.Duration) (forgot []Action) {
+	if e.Whole {
+		for _, d := range p.order {
+			for _, ep := range d.eps {
+				p.setGone(ep, true, now)
+			}
+		}
+	}
+	for _, entry := range e.Entries {
+		var ep *plainEndpoint
+		for _, d := range p.order {
+			for _, o := range d.eps {
+				if o.Endpoint == entry.Endpoint {
+					ep = o
+				}
+			}
+		}
+		if ep == nil {
+			d := p.dest(entry.Destination)
+			ep = &plainEndpoint{Entry: Entry{Endpoint: entry.Endpoint}, d: d}
+			d.eps = append(d.eps, ep)
+		}
+		ep.Draining = entry.Draining
+		p.setGone(ep, entry.Gone, now)
+	}
+	for _, ep := range slices.Clone(p.gone) {
+		if now-ep.goneAt >= goneMemory && len(ep.d.eps) > 1 {
+			p.gone, ep.d.eps = without(p.gone, ep), without(ep.d.eps, ep)
+			forgot = append(forgot, Forgot{Endpoint: ep.Endpoint})
+		}
+	}
+	return forgot
+}
+
+// Over random lists, what is forgotten, when and in which order, and what counts as listed, is as with plain lists in which nothing rests.
+func TestWhatRestsIsListedAndForgottenAsInPlainLists(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		set := testSettings()
+		set.Senders = 40
+		s, plain, now, forgotten := New(set), &plainList{}, 100*sec, 0
+		s.restAfter = time.Duration(seed%3) * sec
+		ids, dests := 2+rng.IntN(60), 1+rng.IntN(20)
+		for step := range 400 {
+			now += time.Duration(rng.IntN(9000)) * ms
+			var l Listed
+			l.Whole = rng.IntN(5) == 0
+			for range rng.IntN(1 + ids) {
+				id := 1 + rng.IntN(ids)
+				l.Entries = append(l.Entries, Entry{Endpoint: EndpointID(id), Destination: id % dests, Draining: rng.IntN(6) == 0, Gone: rng.IntN(4) == 0})
+			}
+			events := []Event{l}
+			if d := rng.IntN(2 * dests); rng.IntN(3) == 0 && len(plain.dest(d).eps) == 0 { // first heard of by a message, whose time is over
+				events = slices.Insert(events, 0, Event(Arrived{ID: MessageID(fmt.Sprint("m", step)), Destination: d, Class: safe}))
+			} else if rng.IntN(3) == 0 {
+				events = append(events, Told{Note{Endpoint: EndpointID(1 + rng.IntN(ids)), Class: safe}})
+			}
+			want := plain.list(l, now)
+			forgotten += len(want)
+			var got []Action
+			for _, a := range s.Step(now, events) {
+				if f, ok := a.(Forgot); ok {
+					got = append(got, f)
+				}
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Fatalf("seed %d, step %d: %s", seed, step, diff)
+			}
+			if step%20 > 0 {
+				continue
+			}
+			for _, d := range plain.order {
+				listed := 0
+				for _, ep := range d.eps {
+					if !ep.Draining && !ep.Gone {
+						listed++
+					}
+				}
+				if got := s.destination(d.no); len(got.endpoints) != len(d.eps) || len(slices.DeleteFunc(slices.Clone(got.endpoints), func(ep *endpoint) bool { return !ep.listed })) != listed {
+					t.Fatalf("seed %d, step %d: destination %d has %d endpoints, want %d, %d of them listed", seed, step, d.no, len(got.endpoints), len(d.eps), listed)
+				}
+			}
+		}
+		if ids > 20 && forgotten < 20 {
+			t.Errorf("seed %d: %d forgotten, too few to tell", seed, forgotten)
+		}
+	}
+}
