--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -22,6 +22,7 @@
 
 const (
 	maxValue    = 64 << 10 // bytes of one entry with the space before it, or of what stands beside the entries
+	maxFields   = 64       // beside the entries
 	textPerList = 4        // bytes of text that are read for each that a list may take: its form is that much longer at most
 )
 
@@ -169,7 +170,10 @@
 	if t, err := r.dec.Token(); err != nil || t != json.Delim('{') {
 		return orNot(err, "not an object")
 	}
-	for r.dec.More() {
+	for n := 0; r.dec.More(); n++ {
+		if n == maxFields {
+			return errors.New("too many fields")
+		}
 		if err := r.field(); err != nil {
 			return err
 		}
