--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -240,7 +240,7 @@
 		if err != nil {
 			return fmt.Errorf("entry %d: %w", len(r.list.Hosts), err)
 		}
-		if r.taken += int64(unsafe.Sizeof(h)) + int64(len(h.Name)+len(h.Dial)); r.taken > r.most {
+		if r.taken += taken(h); r.taken > r.most {
 			return &TooLargeError{}
 		}
 		r.add(h)
@@ -250,6 +250,9 @@
 	return err
 }
 
+// taken is how many bytes an endpoint takes.
+func taken(h exchange.Host) int64 { return int64(unsafe.Sizeof(h)) + int64(len(h.Name)+len(h.Dial)) }
+
 // add appends an entry. Room is made by what has come: up to four times of it, and no more than the told length lets expect.
 func (r *reading) add(h exchange.Host) {
 	if n := len(r.list.Hosts); n == cap(r.list.Hosts) {
