--- a/internal/snapshot/form.go
+++ b/internal/snapshot/form.go
@@ -12,6 +12,7 @@
 	"math"
 	"os"
 	"slices"
+	"strings"
 
 	"eiderhaven/internal/exchange"
 )
@@ -305,11 +306,6 @@
 			kept = append(kept, h)
 		}
 	}
-	slices.SortFunc(kept[begun:], func(a, b exchange.Host) int { // in an order that repeats
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(kept[begun:], func(a, b exchange.Host) int { return strings.Compare(a.Name, b.Name) }) // in an order that repeats
 	s.Hosts = kept
 }
