--- a/internal/snapshot/form.go
+++ b/internal/snapshot/form.go
@@ -29,7 +29,7 @@
 	headLen  = 8        // of a record
 	partSize = 32 << 10 // bytes of a part, about
 	mostLast = 64       // entries of a last change that an end tells
-	usual    = 48       // bytes of an endpoint, about
+	usual    = 40       // bytes of an endpoint, about
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
