--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,6 +31,7 @@
 	toldMemory      = 5 * time.Second         // span over which what is told of an endpoint counts
 	toldEnough      = 1.7                     // notes within it that make a class shun an endpoint
 	retryPause      = 5 * time.Millisecond    // for each sender beyond a crowd: they must not retry at once
+	restPart        = 0.7                     // of a crowd's longest, first; 1 serves less, 0.5 pushes over
 	failStreak      = 4                       // failures in a row: an outage; 2 mistakes half the calls for one
 	refusalStreak   = 3                       // refusals in a row without a success: shut rather than full
 	refusalSpan     = 5 * time.Second         // and over at least this long; 1.5 s takes limits for outages
@@ -145,7 +146,7 @@
 		s.handle(e)
 	}
 	for _, e := range events {
-		if a, arrived := e.(Arrived); arrived {
+		if a, arrived := e.(Arrived); arrived && a.Before.Failed > 0 {
 			s.recall(a) // by all that has come: the first alone makes a rate that outlasts the others
 		}
 	}
@@ -414,8 +415,7 @@
 	s.believe(c.service())
 }
 
-// doubted tells whether enough is said of an endpoint: one call may be slow by itself, two make a class shun
-// it.
+// doubted tells whether enough is said of an endpoint: one call may be slow by itself, two are not.
 func (v *service) doubted(now time.Duration) bool {
 	return v.told.perSecond(now, toldMemory) >= toldEnough/toldMemory.Seconds()
 }
@@ -495,7 +495,10 @@
 	if why == TimedOut && ep.lastAnswer > sent {
 		return // one call lost where others are answered
 	}
-	if why == ConnectError && s.now-sent < s.set.ConnectTimeout/2 {
+	unheard := max(0, s.now-sent-s.set.ConnectTimeout/2) // of a connect, beyond what a refusal may take
+	if why != ConnectError {
+		unheard = 0
+	} else if unheard == 0 {
 		s.proven[ep.kind] = startOpen - provenOpen
 	}
 	if ep.fails++; ep.fails == 1 && ep.health == healthy {
@@ -504,7 +507,7 @@
 	if s.set.Senders > crowd && why == Reset && s.now-sent > minLate {
 		ep.fails = max(ep.fails, 2) // a hang may have ended for all at once: the first pause would not spread them
 	}
-	ep.dest.retryAt = s.now + s.pause(ep)
+	ep.dest.retryAt = s.now + s.pause(ep, unheard)
 	if ep.health != probation && ep.fails >= failStreak {
 		s.suspend(ep, why)
 	}
@@ -521,22 +524,20 @@
 // usually is the time to an answer, in seconds, a guess before the first.
 func (t *timing) usually() float64 { return cmp.Or(t.latency, firstLate.Seconds()/4) }
 
-// pause is how long a destination's failed endpoints are left alone: longer with each failure, up to the time
-// in which this sender's own traffic there would use its part of a cold destination's budget.
-func (s *Sender) pause(ep *endpoint) time.Duration {
-	routes := 1
+// pause is how long a destination's failed endpoints are left alone: longer with each failure and each second
+// that a connect went unheard, up to where own traffic would use its part of a cold destination's budget.
+func (s *Sender) pause(ep *endpoint, unheard time.Duration) time.Duration {
+	own := ep.dest.wanted.perSecond(s.now, deliveredMemory)
 	if s.kind(ep).RoutesApart {
-		routes = ep.dest.width()
+		own /= float64(ep.dest.width())
 	}
-	own := ep.dest.wanted.perSecond(s.now, deliveredMemory) / float64(routes)
 	share := 1 / max(s.set.OverloadFactor*s.set.ColdShare*own, 1e-3)
 	steps := min(ep.fails-1, failStreak)
 	if slices.ContainsFunc(ep.dest.endpoints, func(o *endpoint) bool { return o.listed && o.fails == 0 }) {
 		steps++ // others can serve meanwhile
 	}
-	growth := math.Exp2(float64(3 * steps))
-	first := retryPause.Seconds() * float64(max(s.set.Senders-crowd, 0))
-	return seconds(min(first*growth, share) * (0.5 + s.rng.Float64()))
+	first := (retryPause + unheard).Seconds() * float64(max(s.set.Senders-crowd, 0))
+	return seconds(min(min(first, restPart*share)*math.Exp2(float64(3*steps)), share) * (0.5 + s.rng.Float64()))
 }
 
 // inherit gives a new endpoint its destination's failures, or a crowd's whole backlog goes there at once.
@@ -549,13 +550,13 @@
 }
 
 // recall takes over an earlier process's failures at a destination, or a crowd that restarts during an outage
-// sends all that it owes as it ends. Too careful where single attempts fail all the time.
+// sends all that it owes as it ends; one may have gone unheard. Too careful where single attempts often fail.
 func (s *Sender) recall(a Arrived) {
 	d := s.destination(a.Destination)
 	for _, ep := range d.endpoints {
-		if fails := min(a.Before.Failed, failStreak); s.set.Senders > crowd && fails > ep.fails {
+		if fails := min(max(a.Before.Failed, 2), failStreak); s.set.Senders > crowd && fails > ep.fails {
 			ep.fails = fails
-			d.retryAt = max(d.retryAt, s.now+s.pause(ep))
+			d.retryAt = max(d.retryAt, s.now+s.pause(ep, 0))
 		}
 	}
 }
@@ -697,11 +698,10 @@
 // many senders have anything to send at once, times the share of capacity that must be back by now.
 func (s *Sender) gap(ep *endpoint) time.Duration {
 	peers, warm := float64(max(s.set.Senders, 1)), 0.0
-	longest := s.set.FallWindow.Seconds() * peers / 2
 	if !s.kind(ep).RoutesApart {
 		peers *= float64(ep.dest.width())
-		longest *= float64(ep.dest.width())
 	}
+	longest := s.set.FallWindow.Seconds() * peers / 2
 	if ep.health == ramping {
 		mid := (s.now + max(ep.charged, ep.since)) / 2 // as the rate rises evenly since the last call
 		warm = min(1, max(0, mid-ep.since).Seconds()/max(s.set.WarmUp.Seconds(), 1e-3))
