--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,6 +31,8 @@
 	toldMemory      = 5 * time.Second         // span over which what is told of an endpoint counts
 	toldEnough      = 1.7                     // notes within it that make a class shun an endpoint
 	retryPause      = 5 * time.Millisecond    // for each sender beyond a crowd: they must not retry at once
+	maxRetryPause   = 200 * time.Millisecond  // longer ones bring the first retries of an outage to its end
+	restPart        = 0.7                     // of what a budget would give; 1 serves less, 0.5 pushes over
 	failStreak      = 4                       // failures in a row: an outage; 2 mistakes half the calls for one
 	refusalStreak   = 3                       // refusals in a row without a success: shut rather than full
 	refusalSpan     = 5 * time.Second         // and over at least this long; 1.5 s takes limits for outages
@@ -145,7 +147,7 @@
 		s.handle(e)
 	}
 	for _, e := range events {
-		if a, arrived := e.(Arrived); arrived {
+		if a, arrived := e.(Arrived); arrived && a.Before.Failed > 0 {
 			s.recall(a) // by all that has come: the first alone makes a rate that outlasts the others
 		}
 	}
@@ -493,8 +495,8 @@
 	if ep.fails++; ep.fails == 1 && ep.health == healthy {
 		ep.failing = sent
 	}
-	if s.set.Senders > crowd && why == Reset && s.now-sent > minLate {
-		ep.fails = max(ep.fails, 2) // a hang may have ended for all at once: the first pause would not spread them
+	if s.set.Senders > crowd && (why == Reset || why == ConnectError) && s.now-sent > minLate {
+		ep.fails = max(ep.fails, 2) // a hang or a silence may end for all at once: a brief pause spreads nothing
 	}
 	ep.dest.retryAt = s.now + s.pause(ep)
 	if ep.health != probation && ep.fails >= failStreak {
@@ -513,22 +515,20 @@
 // usually is the time to an answer, in seconds, a guess before the first.
 func (t *timing) usually() float64 { return cmp.Or(t.latency, firstLate.Seconds()/4) }
 
-// pause is how long a destination's failed endpoints are left alone: longer with each failure, up to the time
-// in which this sender's own traffic there would use its part of a cold destination's budget.
+// pause is how long a destination's failed endpoints are left alone: briefly at first, then up to the time in
+// which this sender's own traffic there would use its part of a cold destination's budget.
 func (s *Sender) pause(ep *endpoint) time.Duration {
-	routes := 1
+	own := ep.dest.wanted.perSecond(s.now, deliveredMemory)
 	if s.kind(ep).RoutesApart {
-		routes = ep.dest.width()
+		own /= float64(ep.dest.width())
 	}
-	own := ep.dest.wanted.perSecond(s.now, deliveredMemory) / float64(routes)
-	share := 1 / max(s.set.OverloadFactor*s.set.ColdShare*own, 1e-3)
-	steps := min(ep.fails-1, failStreak)
+	share := restPart / max(s.set.OverloadFactor*s.set.ColdShare*own, 1e-3)
+	steps := 6 * min(ep.fails-1, failStreak)
 	if slices.ContainsFunc(ep.dest.endpoints, func(o *endpoint) bool { return o.listed && o.fails == 0 }) {
-		steps++ // others can serve meanwhile
+		steps += 3 // others can serve meanwhile
 	}
-	growth := math.Exp2(float64(3 * steps))
-	first := retryPause.Seconds() * float64(max(s.set.Senders-crowd, 0))
-	return seconds(min(first*growth, share) * (0.5 + s.rng.Float64()))
+	first := min(retryPause*time.Duration(max(s.set.Senders-crowd, 0)), maxRetryPause)
+	return seconds(min(first.Seconds()*math.Exp2(float64(steps)), share) * (0.5 + s.rng.Float64()))
 }
 
 // inherit gives a new endpoint its destination's failures, or a crowd's whole backlog goes there at once.
@@ -541,11 +541,11 @@
 }
 
 // recall takes over an earlier process's failures at a destination, or a crowd that restarts during an outage
-// sends all that it owes as it ends. Too careful where single attempts fail all the time.
+// sends all that it owes as it ends; one may have gone unheard. Too careful where single attempts often fail.
 func (s *Sender) recall(a Arrived) {
 	d := s.destination(a.Destination)
 	for _, ep := range d.endpoints {
-		if fails := min(a.Before.Failed, failStreak); s.set.Senders > crowd && fails > ep.fails {
+		if fails := min(max(a.Before.Failed, 2), failStreak); s.set.Senders > crowd && fails > ep.fails {
 			ep.fails = fails
 			d.retryAt = max(d.retryAt, s.now+s.pause(ep))
 		}
