A repeat's window counts from the step after a restart; exchange tests go by a fake clock

Cause: restore took how long ago an attempt was made as it read the ledger, and the module counted from its step: what lay between (the rest of the ledger, a busy machine) was given to the window. Exchange.dated now takes it at the step, as it does the time that is left. Test: TestARestartThatTakesLongKeepsTheWindow ("up to 3.199s after the first attempt, the window is 3s" without it).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -140,6 +140,7 @@
 type held struct {
 	msg      *message.Message
 	attempts int
+	mayRunAt time.Time   // when an earlier process made the attempt that may have run, if one did
 	reply    chan Answer // nil once answered
 }
 
@@ -189,7 +190,7 @@
 	}
 	before := rules.Before{Attempts: o.Attempts, Failed: o.Failed, MayRun: o.MayRun}
 	if o.MayRun {
-		before.Ago, before.At = max(0, time.Since(o.At)), x.dir.ids[o.Host]
+		h.mayRunAt, before.At = o.At, x.dir.ids[o.Host]
 	}
 	x.events = append(x.events, rules.Arrived{ID: rules.MessageID(m.ID), Destination: m.Dest, Class: class,
 		Tenant: x.tenant(m.Tenant), Before: before})
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"eiderhaven/internal/ledger"
@@ -231,30 +232,32 @@
 }
 
 func TestLaterEnds(t *testing.T) {
-	w := begin(t, nil)
-	w.take(msg("p", "payment", 1))
-	w.finish(testkit.Next(t, w.ends.started, "call"), rules.Reset) // it may have run, and must not be sent again
-	if n := testkit.Next(t, w.plat.told, "notice"); n.ID != "p" || !n.Dead {
-		t.Errorf("notice: %+v, want p dead", n)
-	}
-	late := msg("s", "stock", 1)
-	late.Deadline = time.Now().Add(100 * time.Millisecond)
-	w.take(late)
-	if n := testkit.Next(t, w.plat.told, "notice"); n.ID != "s" || n.Dead || n.Wait <= 0 {
-		t.Errorf("notice: %+v, want s bounced with a wait", n)
-	}
-	c := w.settled("both over", func(c Counts) bool { return c.Held == 0 })
-	if c.Bounced != 1 || c.Dead != 1 {
-		t.Errorf("counters: %+v", c)
-	}
-	l, err := ledger.Open(w.dir, 2<<20, quiet)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	if got := l.Notices(); len(got) != 2 {
-		t.Errorf("notices not accepted yet: %+v, want both", got)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		w := begin(t, nil)
+		w.take(msg("p", "payment", 1))
+		w.finish(testkit.Next(t, w.ends.started, "call"), rules.Reset) // it may have run, and must not be sent again
+		if n := testkit.Next(t, w.plat.told, "notice"); n.ID != "p" || !n.Dead {
+			t.Errorf("notice: %+v, want p dead", n)
+		}
+		late := msg("s", "stock", 1)
+		late.Deadline = time.Now().Add(100 * time.Millisecond)
+		w.take(late)
+		if n := testkit.Next(t, w.plat.told, "notice"); n.ID != "s" || n.Dead || n.Wait <= 0 {
+			t.Errorf("notice: %+v, want s bounced with a wait", n)
+		}
+		c := w.settled("both over", func(c Counts) bool { return c.Held == 0 })
+		if c.Bounced != 1 || c.Dead != 1 {
+			t.Errorf("counters: %+v", c)
+		}
+		l, err := ledger.Open(w.dir, 2<<20, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		if got := l.Notices(); len(got) != 2 {
+			t.Errorf("notices not accepted yet: %+v, want both", got)
+		}
+	})
 }
 
 func TestNoticesEndWhenAccepted(t *testing.T) {
@@ -458,82 +461,90 @@
 
 // An attempt that times out ends its call; whether it may have run goes by what was written.
 func TestTimeOut(t *testing.T) {
-	for _, written := range []bool{true, false} {
-		w := begin(t, func(s *rules.Settings) { s.MaxAttempts = 1 })
-		m := msg("a", "payment", 1)
-		m.Deadline = time.Now().Add(150 * time.Millisecond)
-		w.take(m)
-		c := testkit.Next(t, w.ends.started, "call")
-		if c.Waiting <= 0 || c.Waiting > 150*time.Millisecond {
-			t.Errorf("the call waits %v, want the time that is left", c.Waiting)
-		}
-		if got := testkit.Next(t, w.ends.cancelled, "end of the call"); got != c {
-			t.Errorf("another call was given up")
-		}
-		w.Finish(c, Result{Written: written, Items: []ItemResult{{Outcome: rules.Cancelled}}})
-		want := rules.ConnectError
-		if written {
-			want = rules.TimedOut
+	synctest.Test(t, func(t *testing.T) {
+		for _, written := range []bool{true, false} {
+			w := begin(t, func(s *rules.Settings) { s.MaxAttempts = 1 })
+			m := msg("a", "payment", 1)
+			m.Deadline = time.Now().Add(150 * time.Millisecond)
+			w.take(m)
+			c := testkit.Next(t, w.ends.started, "call")
+			if c.Waiting <= 0 || c.Waiting > 150*time.Millisecond {
+				t.Errorf("the call waits %v, want the time that is left", c.Waiting)
+			}
+			if got := testkit.Next(t, w.ends.cancelled, "end of the call"); got != c {
+				t.Errorf("another call was given up")
+			}
+			w.Finish(c, Result{Written: written, Items: []ItemResult{{Outcome: rules.Cancelled}}})
+			want := rules.ConnectError
+			if written {
+				want = rules.TimedOut
+			}
+			w.settled("told", func(c Counts) bool { return c.Outcomes[want] == 1 && c.Held == 0 })
 		}
-		w.settled("told", func(c Counts) bool { return c.Outcomes[want] == 1 && c.Held == 0 })
-	}
+	})
 }
 
 // An answer that crosses the giving up counts.
 func TestAnswerCrossesTimeOut(t *testing.T) {
-	w := begin(t, nil)
-	m := msg("a", "payment", 1)
-	m.Deadline = time.Now().Add(100 * time.Millisecond)
-	w.take(m)
-	c := testkit.Next(t, w.ends.started, "call")
-	testkit.Next(t, w.ends.cancelled, "end of the call")
-	w.finish(c, rules.OK)
-	w.settled("told", func(c Counts) bool { return c.Outcomes[rules.OK] == 1 && c.Out == 0 })
+	synctest.Test(t, func(t *testing.T) {
+		w := begin(t, nil)
+		m := msg("a", "payment", 1)
+		m.Deadline = time.Now().Add(100 * time.Millisecond)
+		w.take(m)
+		c := testkit.Next(t, w.ends.started, "call")
+		testkit.Next(t, w.ends.cancelled, "end of the call")
+		w.finish(c, rules.OK)
+		w.settled("told", func(c Counts) bool { return c.Outcomes[rules.OK] == 1 && c.Out == 0 })
+	})
 }
 
 // A message that waited for its step has that much less time by the module's clock too: as its call is given up it has ended, and
 // does not go out once more.
 func TestNothingGoesOutAsItsTimeEnds(t *testing.T) {
-	w := newWorld(t, t.TempDir(), nil)
-	w.Recover()
-	m := msg("a", "stock", 1)
-	m.Deadline = time.Now().Add(100 * time.Millisecond)
-	w.Exchange.take(m, make(chan Answer, 1))
-	testkit.Eventually(t, "half its time", func() bool { return time.Until(m.Deadline) < 50*time.Millisecond })
-	w.step()
-	c := testkit.Next(t, w.ends.started, "call")
-	testkit.Eventually(t, "all of it", func() bool { return time.Until(m.Deadline) < 0 })
-	w.step()
-	w.finished(c.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.Cancelled}}})
-	w.step()
-	if n, told := len(w.ends.started), len(w.plat.told); n != 0 || told != 1 {
-		t.Errorf("%d calls after its time and %d notices, want none and one", n, told)
-	}
-	w.led.Close()
-}
-
-// An endpoint's 200 that comes as the message's time runs out, or after it and before the step that would give it up, counts and is
-// told of as well; one before that needs no notice.
-func TestAcceptedInTheLastMoment(t *testing.T) {
-	for left, told := range map[time.Duration]int{200 * time.Millisecond: 0, lastMoment / 2: 1, 0: 1, -3 * time.Millisecond: 1} {
+	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, t.TempDir(), nil)
 		w.Recover()
-		m := msg("a", "payment", 1)
+		m := msg("a", "stock", 1)
+		m.Deadline = time.Now().Add(100 * time.Millisecond)
 		w.Exchange.take(m, make(chan Answer, 1))
+		testkit.Eventually(t, "half its time", func() bool { return time.Until(m.Deadline) < 50*time.Millisecond })
 		w.step()
 		c := testkit.Next(t, w.ends.started, "call")
-		m.Deadline = time.Now().Add(left)
-		w.finished(c.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.OK}}})
+		testkit.Eventually(t, "all of it", func() bool { return time.Until(m.Deadline) < 0 })
 		w.step()
-		if got := w.snapshot(); len(w.plat.told) != told || got.Delivered != 1 || got.Held != 0 || got.Out != 0 {
-			t.Errorf("with %v left: %d notices, want %d; counters %+v", left, len(w.plat.told), told, got)
-		}
-		if owed := len(w.owed()) + len(w.led.Notices()); owed != told {
-			t.Errorf("with %v left: the ledger owes %d ends, want %d", left, owed, told)
+		w.finished(c.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.Cancelled}}})
+		w.step()
+		if n, told := len(w.ends.started), len(w.plat.told); n != 0 || told != 1 {
+			t.Errorf("%d calls after its time and %d notices, want none and one", n, told)
 		}
-		w.addUp(w.snapshot())
 		w.led.Close()
-	}
+	})
+}
+
+// An endpoint's 200 that comes as the message's time runs out, or after it and before the step that would give it up, counts and is
+// told of as well; one before that needs no notice.
+func TestAcceptedInTheLastMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for left, told := range map[time.Duration]int{200 * time.Millisecond: 0, lastMoment / 2: 1, 0: 1, -3 * time.Millisecond: 1} {
+			w := newWorld(t, t.TempDir(), nil)
+			w.Recover()
+			m := msg("a", "payment", 1)
+			w.Exchange.take(m, make(chan Answer, 1))
+			w.step()
+			c := testkit.Next(t, w.ends.started, "call")
+			m.Deadline = time.Now().Add(left)
+			w.finished(c.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.OK}}})
+			w.step()
+			if got := w.snapshot(); len(w.plat.told) != told || got.Delivered != 1 || got.Held != 0 || got.Out != 0 {
+				t.Errorf("with %v left: %d notices, want %d; counters %+v", left, len(w.plat.told), told, got)
+			}
+			if owed := len(w.owed()) + len(w.led.Notices()); owed != told {
+				t.Errorf("with %v left: the ledger owes %d ends, want %d", left, owed, told)
+			}
+			w.addUp(w.snapshot())
+			w.led.Close()
+		}
+	})
 }
 
 // A message over by the endpoint's word (410) needs no notice; one past its attempts (504) does.
@@ -557,17 +568,19 @@
 
 // Whatever the list says later, a call never leaves for an endpoint of another destination.
 func TestMovedEndpointGetsNothing(t *testing.T) {
-	w := begin(t, nil)
-	w.List(Listing{Whole: true, Hosts: []Host{{Peer: Peer{"s-1", "127.0.0.1:1001"}, Dest: 9}}})
-	m := msg("a", "stock", 1)
-	m.Deadline = time.Now().Add(200 * time.Millisecond)
-	w.take(m)
-	if n := testkit.Next(t, w.plat.told, "notice"); n.ID != "a" {
-		t.Errorf("notice: %+v", n)
-	}
-	if n := len(w.ends.started); n != 0 {
-		t.Errorf("%d calls to an endpoint of another destination", n)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		w := begin(t, nil)
+		w.List(Listing{Whole: true, Hosts: []Host{{Peer: Peer{"s-1", "127.0.0.1:1001"}, Dest: 9}}})
+		m := msg("a", "stock", 1)
+		m.Deadline = time.Now().Add(200 * time.Millisecond)
+		w.take(m)
+		if n := testkit.Next(t, w.plat.told, "notice"); n.ID != "a" {
+			t.Errorf("notice: %+v", n)
+		}
+		if n := len(w.ends.started); n != 0 {
+			t.Errorf("%d calls to an endpoint of another destination", n)
+		}
+	})
 }
 
 // A call that waits for its connection must not leave for an endpoint that has come to drain meanwhile, or is gone. Its
@@ -608,26 +621,57 @@
 // A repeat tells the endpoint side by when it has to leave: the end of what the class allows, counted from the first attempt, also
 // where a process before this one made that.
 func TestARepeatTellsWhenItHasToLeave(t *testing.T) {
-	window := 3 * time.Second
-	w := newWorld(t, t.TempDir(), func(s *rules.Settings) {
-		s.Classes[0].Effect, s.Classes[0].Window = rules.Keyed, window
+	synctest.Test(t, func(t *testing.T) {
+		window := 3 * time.Second
+		w := newWorld(t, t.TempDir(), func(s *rules.Settings) {
+			s.Classes[0].Effect, s.Classes[0].Window = rules.Keyed, window
+		})
+		earlier := time.Now().Add(-time.Second)
+		m := msg("before", "stock", 1)
+		for _, err := range []error{w.led.Take(m), w.led.Call([]string{m.ID}, []int{0}, "s-1", earlier), w.led.Outcome(m.ID, 0, true, true)} {
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.start()
+		c := testkit.Next(t, w.ends.started, "repeat")
+		if late := c.LeaveBy.Sub(earlier); late > window || late < window-100*time.Millisecond {
+			t.Errorf("the repeat leaves up to %v after the first attempt, the window is %v", late, window)
+		}
+		w.take(msg("new", "stock", 1))
+		if c := testkit.Next(t, w.ends.started, "call"); !c.LeaveBy.IsZero() {
+			t.Errorf("a first attempt has to leave by %v", c.LeaveBy)
+		}
 	})
-	earlier := time.Now().Add(-time.Second)
-	m := msg("before", "stock", 1)
-	for _, err := range []error{w.led.Take(m), w.led.Call([]string{m.ID}, []int{0}, "s-1", earlier), w.led.Outcome(m.ID, 0, true, true)} {
-		if err != nil {
-			t.Fatal(err)
+}
+
+// That end counts from the attempt, however long the module's step comes after the ledger was read.
+func TestARestartThatTakesLongKeepsTheWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		window := 3 * time.Second
+		w := newWorld(t, t.TempDir(), func(s *rules.Settings) {
+			s.Classes[0].Effect, s.Classes[0].Window = rules.Keyed, window
+		})
+		earlier := time.Now()
+		m := msg("before", "stock", 1)
+		for _, err := range []error{w.led.Take(m), w.led.Call([]string{m.ID}, []int{0}, "s-1", earlier), w.led.Outcome(m.ID, 0, true, true)} {
+			if err != nil {
+				t.Fatal(err)
+			}
 		}
-	}
-	w.start()
-	c := testkit.Next(t, w.ends.started, "repeat")
-	if late := c.LeaveBy.Sub(earlier); late > window || late < window-100*time.Millisecond {
-		t.Errorf("the repeat leaves up to %v after the first attempt, the window is %v", late, window)
-	}
-	w.take(msg("new", "stock", 1))
-	if c := testkit.Next(t, w.ends.started, "call"); !c.LeaveBy.IsZero() {
-		t.Errorf("a first attempt has to leave by %v", c.LeaveBy)
-	}
+		time.Sleep(time.Second)
+		w.listed(known)
+		for _, o := range w.led.Owed() {
+			w.restore(o)
+		}
+		time.Sleep(200 * time.Millisecond) // the rest of a large ledger, on a busy machine
+		w.step()
+		c := testkit.Next(t, w.ends.started, "repeat")
+		if late := c.LeaveBy.Sub(earlier); late > window || late < window-100*time.Millisecond {
+			t.Errorf("the repeat leaves up to %v after the first attempt, the window is %v", late, window)
+		}
+		w.led.Close()
+	})
 }
 
 // A call of several messages has one fate. Not written, it is called back whole by a wait told beside it, as the time of one of
@@ -635,86 +679,90 @@
 // together as soon as it may. Written, it goes on over a wait and a withdrawal; with the end of a message it is given up whole,
 // and none goes out again while it may still be answered.
 func TestACallHasOneFate(t *testing.T) {
-	ok := func(w *world, other *Call) {
-		w.finished(other.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.OK}}})
-	}
-	for _, c := range []struct {
-		name   string
-		strike func(w *world, first, other *Call) // two calls to the destination, of three messages and of one
-		after  time.Duration
-		left   int  // messages that go out again
-		ends   bool // a written call is given up
-	}{
-		{"a wait", func(w *world, _, other *Call) {
-			w.finished(other.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.Errored, Wait: 4 * time.Second}}})
-		}, 4 * time.Second, 3, false},
-		{"the end of a message", func(w *world, _, other *Call) { ok(w, other); w.later(14 * time.Second) }, 100 * time.Millisecond, 2, true},
-		{"a withdrawal", func(w *world, first, other *Call) { ok(w, other); w.Withdraw(first.Items[1].ID); w.drain() }, 100 * time.Millisecond, 2, false},
-	} {
-		for _, written := range []bool{false, true} {
-			w := newWorld(t, t.TempDir(), func(s *rules.Settings) { s.MaxAttempts = 1 })
-			w.ends.onRecall = func(*Call) bool { return !written }
-			w.Recover()
-			w.offer(4, 15*time.Second)
-			w.later(time.Second) // the last one has waited its time for company
-			w.step()
-			first, other := <-w.ends.started, <-w.ends.started
-			if first.Waiting > 15*time.Second {
-				t.Errorf("the call waits %v, want until the first of its messages ends", first.Waiting)
-			}
-			c.strike(w, first, other)
-			w.step()
-			if n := len(w.ends.recalled); n == 0 || <-w.ends.recalled != first || w.counts.Recalled > 1 || (w.counts.Recalled == 1) == written {
-				t.Errorf("%s, written %v: %d calls to be called back, counters %+v", c.name, written, n, w.counts)
-			}
-			w.later(c.after - 10*time.Millisecond)
-			w.step()
-			if n := len(w.ends.started); n != 0 && c.left == 3 {
-				t.Errorf("%s, written %v: %d calls before the wait is over", c.name, written, n)
-			}
-			w.later(500 * time.Millisecond)
-			w.step()
-			again := 0
-			for len(w.ends.started) > 0 {
-				if call := <-w.ends.started; len(call.Items) > 1 {
-					again = len(call.Items)
+	synctest.Test(t, func(t *testing.T) {
+		ok := func(w *world, other *Call) {
+			w.finished(other.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.OK}}})
+		}
+		for _, c := range []struct {
+			name   string
+			strike func(w *world, first, other *Call) // two calls to the destination, of three messages and of one
+			after  time.Duration
+			left   int  // messages that go out again
+			ends   bool // a written call is given up
+		}{
+			{"a wait", func(w *world, _, other *Call) {
+				w.finished(other.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.Errored, Wait: 4 * time.Second}}})
+			}, 4 * time.Second, 3, false},
+			{"the end of a message", func(w *world, _, other *Call) { ok(w, other); w.later(14 * time.Second) }, 100 * time.Millisecond, 2, true},
+			{"a withdrawal", func(w *world, first, other *Call) { ok(w, other); w.Withdraw(first.Items[1].ID); w.drain() }, 100 * time.Millisecond, 2, false},
+		} {
+			for _, written := range []bool{false, true} {
+				w := newWorld(t, t.TempDir(), func(s *rules.Settings) { s.MaxAttempts = 1 })
+				w.ends.onRecall = func(*Call) bool { return !written }
+				w.Recover()
+				w.offer(4, 15*time.Second)
+				w.later(time.Second) // the last one has waited its time for company
+				w.step()
+				first, other := <-w.ends.started, <-w.ends.started
+				if first.Waiting > 15*time.Second {
+					t.Errorf("the call waits %v, want until the first of its messages ends", first.Waiting)
 				}
-			}
-			if want := map[bool]int{false: c.left}[written]; again != want {
-				t.Errorf("%s, written %v: %d messages go out again, want %d", c.name, written, again, want)
-			}
-			if n := len(w.ends.cancelled); n > 1 || (n == 1) != (written && c.ends) {
-				t.Errorf("%s, written %v: %d calls given up, want one if it ends", c.name, written, n)
-			}
-			if written {
-				out := w.snapshot().Out
-				w.finished(first.flight, Result{Written: true, Items: slices.Repeat([]ItemResult{{Outcome: rules.Cancelled}}, 3)})
-				if w.step(); out != 3 || c.ends && w.snapshot().Outcomes[rules.TimedOut] != 3 {
-					t.Errorf("%s: %d attempts out before the call has ended, counters %+v", c.name, out, w.snapshot())
+				c.strike(w, first, other)
+				w.step()
+				if n := len(w.ends.recalled); n == 0 || <-w.ends.recalled != first || w.counts.Recalled > 1 || (w.counts.Recalled == 1) == written {
+					t.Errorf("%s, written %v: %d calls to be called back, counters %+v", c.name, written, n, w.counts)
+				}
+				w.later(c.after - 10*time.Millisecond)
+				w.step()
+				if n := len(w.ends.started); n != 0 && c.left == 3 {
+					t.Errorf("%s, written %v: %d calls before the wait is over", c.name, written, n)
+				}
+				w.later(500 * time.Millisecond)
+				w.step()
+				again := 0
+				for len(w.ends.started) > 0 {
+					if call := <-w.ends.started; len(call.Items) > 1 {
+						again = len(call.Items)
+					}
+				}
+				if want := map[bool]int{false: c.left}[written]; again != want {
+					t.Errorf("%s, written %v: %d messages go out again, want %d", c.name, written, again, want)
 				}
+				if n := len(w.ends.cancelled); n > 1 || (n == 1) != (written && c.ends) {
+					t.Errorf("%s, written %v: %d calls given up, want one if it ends", c.name, written, n)
+				}
+				if written {
+					out := w.snapshot().Out
+					w.finished(first.flight, Result{Written: true, Items: slices.Repeat([]ItemResult{{Outcome: rules.Cancelled}}, 3)})
+					if w.step(); out != 3 || c.ends && w.snapshot().Outcomes[rules.TimedOut] != 3 {
+						t.Errorf("%s: %d attempts out before the call has ended, counters %+v", c.name, out, w.snapshot())
+					}
+				}
+				w.addUp(w.snapshot())
+				w.led.Close()
 			}
-			w.addUp(w.snapshot())
-			w.led.Close()
 		}
-	}
+	})
 }
 
 // Where steps are far apart the module answers before a message's time is over; the call that is out is given up with it.
 func TestAFinalAnswerGivesUpTheCall(t *testing.T) {
-	w := newWorld(t, t.TempDir(), func(s *rules.Settings) { s.Tick, s.AnswerGrace = time.Second, 0 })
-	w.Recover()
-	w.Exchange.take(msg("a", "payment", 1), make(chan Answer, 1))
-	w.step()
-	c := testkit.Next(t, w.ends.started, "call")
-	w.later(14*time.Second + time.Millisecond)
-	w.step()
-	if n := testkit.Next(t, w.plat.told, "notice"); n.ID != "a" {
-		t.Errorf("notice %+v", n)
-	}
-	if len(w.ends.cancelled) != 1 || <-w.ends.cancelled != c {
-		t.Error("the call goes on after the final answer")
-	}
-	w.led.Close()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t.TempDir(), func(s *rules.Settings) { s.Tick, s.AnswerGrace = time.Second, 0 })
+		w.Recover()
+		w.Exchange.take(msg("a", "payment", 1), make(chan Answer, 1))
+		w.step()
+		c := testkit.Next(t, w.ends.started, "call")
+		w.later(14*time.Second + time.Millisecond)
+		w.step()
+		if n := testkit.Next(t, w.plat.told, "notice"); n.ID != "a" {
+			t.Errorf("notice %+v", n)
+		}
+		if len(w.ends.cancelled) != 1 || <-w.ends.cancelled != c {
+			t.Error("the call goes on after the final answer")
+		}
+		w.led.Close()
+	})
 }
 
 // A told wait halts the destination whatever outcome brought it.
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -87,10 +87,9 @@
 	}
 	events := x.events
 	x.events, x.since = nil, -1
-	for i, e := range events { // time has passed since: else the module takes a message for alive when its call has been given up
+	for i, e := range events {
 		if a, arrived := e.(rules.Arrived); arrived && x.held[string(a.ID)] != nil {
-			a.TimeLeft = x.moment(x.held[string(a.ID)].msg.Deadline) - now
-			events[i] = a
+			events[i] = x.dated(a, now)
 		}
 	}
 	actions := x.sender.Step(now, events)
@@ -125,6 +124,17 @@
 	x.fresh = x.fresh[:0]
 }
 
+// dated counts a message's times from the step that tells of it, as the module does. Time has passed since it came: else the module takes
+// it for alive when its call has been given up, and lets a repeat leave as much later than its key's window allows.
+func (x *Exchange) dated(a rules.Arrived, now time.Duration) rules.Arrived {
+	h := x.held[string(a.ID)]
+	a.TimeLeft = x.moment(h.msg.Deadline) - now
+	if a.Before.MayRun {
+		a.Before.Ago = max(0, time.Since(h.mayRunAt))
+	}
+	return a
+}
+
 // answer tells the client, once.
 func (x *Exchange) answer(h *held, a Answer) {
 	if h.reply == nil {
