--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -91,7 +91,7 @@
 	Draining, Gone   bool
 }
 
-// Listing is the registry's list, whole or as changes.
+// Listing is the registry's list, whole or as changes. Once it was handed in, nobody changes it: several read it.
 type Listing struct {
 	Whole bool
 	Hosts []Host
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -34,8 +34,8 @@
 }
 
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("a list that does not fit: %d entries of it take %d bytes, its text has %d or more; a list may take %d (a quarter of the "+
-		"memory, from memory_mb) and %d of text", e.Entries, e.Taken, e.Text, e.Most, e.Most*textPerList)
+	return fmt.Sprintf("a list that does not fit: %d entries of it take %d bytes, its text has %d or more; a list may take %d, by "+
+		"memory_mb, and %d of text", e.Entries, e.Taken, e.Text, e.Most, e.Most*textPerList)
 }
 
 var errLongValue = errors.New("bad list: an entry of more than 64 KiB")
