--- a/cmd/eiderhaven/list_test.go
+++ b/cmd/eiderhaven/list_test.go
@@ -365,3 +365,12 @@
 	}
 	t.Logf("%d taken on, the longest answer took %v", taken.Load(), time.Duration(longest.Load()))
 }
+
+// The bound on a list follows from the memory that the sender has.
+func TestMemoryBoundsTheList(t *testing.T) {
+	for _, c := range []struct{ memory, disk, most int64 }{{192e6, 3e6, 35_437_500}, {1000e6, 100e6, 168_750_000}, {2e6, 3e6, 1 << 20}} {
+		if got := (&config{memory: c.memory, disk: c.disk}).maxList(); got != c.most {
+			t.Errorf("%d bytes of memory, %d of files: a list of %d, want %d", c.memory, c.disk, got, c.most)
+		}
+	}
+}
--- a/internal/registry/list_test.go
+++ b/internal/registry/list_test.go
@@ -248,6 +248,28 @@
 	}
 }
 
+// A list of an earlier process, with more memory, is held against the same bound.
+func TestAListFitsByTheSameBound(t *testing.T) {
+	text := longList(1, 1000)
+	_, l, err := Parse(text, names)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := New(NewAddress("127.0.0.1:1"), names, quiet)
+	for _, most := range []int64{1000, 90_000, 98_000, 100_000, 1 << 20} {
+		r.MaxList = most
+		if _, _, err := readList(bytes.NewReader(text), int64(len(text)), names, most); r.Fits(l) != (err == nil) {
+			t.Errorf("%d bytes: fits %v, read with %v", most, r.Fits(l), err)
+		}
+	}
+	if r.MaxList = 1 << 20; !r.Fits(l) {
+		t.Error("100 kB do not fit into a megabyte")
+	}
+	if r.MaxList = 1000; r.Fits(l) {
+		t.Error("100 kB fit into a kilobyte")
+	}
+}
+
 type writer func([]byte) (int, error)
 
 func (w writer) Write(p []byte) (int, error) { return w(p) }
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -223,6 +223,7 @@
 
 func FuzzAnyFile(f *testing.F) {
 	f.Add([]byte{}, uint16(0))
+	f.Add([]byte("h\x01\x01a\x00\x00|p\x00\x01s\x01d\x00\x00\x00|e\x02\x01\x00|c\x04\x02\x01s\x00\x00\x00\x00|"), uint16('|'))
 	f.Fuzz(func(t *testing.T, payload []byte, seed uint16) { // checksums that fit, so that what stands behind them is read
 		var text []byte
 		for _, part := range bytes.SplitAfter(payload, []byte{byte(seed)}) {
