--- a/rules/record_test.go
+++ b/rules/record_test.go
@@ -419,7 +419,7 @@
 			now += time.Duration(rng.IntN(9000)) * ms
 			var l Listed
 			l.Whole = rng.IntN(5) == 0
-			for range rng.IntN(1 + ids) {
+			for range rng.IntN(1 + ids/(1+int(seed%8))) {
 				id := 1 + rng.IntN(ids)
 				l.Entries = append(l.Entries, Entry{Endpoint: EndpointID(id), Destination: id % dests, Draining: rng.IntN(6) == 0, Gone: rng.IntN(4) == 0})
 			}
