--- a/rules/record.go
+++ b/rules/record.go
@@ -332,6 +332,9 @@
 	if e.Whole {
 		s.lose(before, marked)
 	}
+	if len(s.absent) == 0 {
+		s.absent = map[EndpointID]absence{} // one that had all in it keeps its size
+	}
 	s.gone = slices.DeleteFunc(s.gone, departure.void)
 	s.forgetGone()
 }
