--- a/rules/backlog.go
+++ b/rules/backlog.go
@@ -316,7 +316,7 @@
 	last   bool                // of equals the newest, else the oldest
 	passes func(*message) bool // what may be chosen at all; nil for all
 	best   []ranked            // so far, the best first
-	parts  []part              // heap of what was not looked at
+	parts  *[]part             // heap of what was not looked at; the sender's, so that it is made once
 }
 
 // part is a tree, and the messages next to it on either side, nil where there is none.
@@ -359,11 +359,11 @@
 // add ranks the messages of a group. The value must rise or fall evenly, or stay, between deadlines at which it changes its
 // course: a part without such a break holds no more than its edges, but for rounding, up to slack.
 func (r *ranking) add(g *group, value func(*message) float64, slack float64, breaks []time.Duration) {
-	r.parts = append(r.parts[:0], part{tree: g.root, most: math.Inf(1)})
-	for len(r.parts) > 0 {
+	parts := append((*r.parts)[:0], part{tree: g.root, most: math.Inf(1)})
+	for len(parts) > 0 {
 		var p part
-		if p, r.parts = pull(r.parts, r.sooner); r.hopeless(p) {
-			return
+		if p, parts = pull(parts, r.sooner); r.hopeless(p) {
+			break
 		}
 		m := p.tree
 		v := value(m)
@@ -380,10 +380,12 @@
 				}
 			}
 			if !r.hopeless(sub) {
-				r.parts = push(r.parts, sub, r.sooner)
+				parts = push(parts, sub, r.sooner)
 			}
 		}
 	}
+	clear(parts) // it refers to messages
+	*r.parts = parts
 }
 
 // first is the one that counts most, nil if there is none.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -839,7 +839,7 @@
 
 // rank returns the n messages, or as many as there are, of some effects that gain most at an endpoint.
 func (s *Sender) rank(d *destination, ep *endpoint, n int, of func(Effect) bool) []ranked {
-	r := ranking{n: n, passes: func(m *message) bool { return s.maySend(m, ep) }}
+	r := ranking{n: n, parts: &s.parts, passes: func(m *message) bool { return s.maySend(m, ep) }}
 	at := s.now + seconds(ep.latency)
 	later := at + s.horizon(d)
 	for _, g := range d.groups {
@@ -966,7 +966,7 @@
 // cheapest is the waiting message of a destination that is worth least, among those that may be refused. Of
 // equals it is the newest, which has most time left to come again.
 func (s *Sender) cheapest(d *destination) *message {
-	r := ranking{n: 1, last: true}
+	r := ranking{n: 1, last: true, parts: &s.parts}
 	for _, g := range d.groups {
 		if m := g.root; s.mayRefuse(m) {
 			value := func(m *message) float64 { return -s.worth(m, s.now) }
--- a/rules/state.go
+++ b/rules/state.go
@@ -168,6 +168,7 @@
 	paused    alarms            // the ends of pauses after refusals
 	ran       map[*endpoint]int // messages held that may have run there
 	plans     []plan            // reused by dispatch
+	parts     []part            // reused by rankings
 	lapsedAt  time.Duration     // paces lapse as of then, whenever they are next looked at
 	held      map[MessageID]*message
 	attempts  map[attemptKey]*attempt
