--- a/rules/backlog_test.go
+++ b/rules/backlog_test.go
@@ -197,6 +197,7 @@
 			}
 		}
 		step(Listed{Whole: true, Entries: entries})
+		ahead := rapid.Bool().Draw(t, "looks ahead")
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			now += time.Duration(rapid.SampledFrom([]int{5, 5, 5, 40, 700}).Draw(t, "passes")) * ms
 			var events []Event
@@ -253,10 +254,11 @@
 				events = append(events, Listed{Entries: []Entry{e}})
 			}
 			step(events...)
-			for range 2 {
-				c.compare(t, s)
+			c.compare(t, s)
+			if ahead { // which also ends pauses, so that in other plays they are left to the steps
 				s.now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "later")) * ms
 				s.resume()
+				c.compare(t, s)
 			}
 			for _, d := range s.order {
 				at, shut := s.now+time.Duration(rapid.IntRange(-3000, 9000).Draw(t, "open"))*ms, s.now
