--- a/rules/backlog.go
+++ b/rules/backlog.go
@@ -193,8 +193,8 @@
 
 // resume files anew what is paused no more.
 func (s *Sender) resume() {
-	for len(s.paused) > 0 && s.paused[0].at <= s.now {
-		if m := s.paused.pop().m; m.group != nil && !m.group.ready {
+	for s.paused.next() <= s.now {
+		if m := s.paused.pop(); m.group != nil && !m.group.ready {
 			s.file(m)
 		}
 	}
@@ -203,11 +203,11 @@
 // fallen is what has come due, or to the end of its key's window, in the order of destinations and of arrival. Some of it may
 // be over, or wait for an outcome first.
 func (s *Sender) fallen() (list []*message) {
-	for len(s.dues) > 0 && s.due(s.dues[0].m) <= s.now {
-		list = append(list, s.dues.pop().m)
+	for s.dues.next() <= s.now {
+		list = append(list, s.dues.pop())
 	}
-	for len(s.windows) > 0 && s.windows[0].at <= s.now {
-		list = append(list, s.windows.pop().m)
+	for s.windows.next() <= s.now {
+		list = append(list, s.windows.pop())
 	}
 	slices.SortFunc(list, byArrival)
 	return slices.Compact(list)
@@ -239,29 +239,42 @@
 }
 
 // alarms order messages by a time of each, the earliest first. What has ended is dropped when it comes up.
-type alarms []alarm
+type alarms struct {
+	heap []alarm
+	most int // as many as there may be before what has ended is dropped
+}
 
 type alarm struct {
 	at time.Duration
 	m  *message
 }
 
-// alarm adds one, and drops what has ended once that is most of them, so that they stay bounded.
+// alarm adds one, and drops what has ended each time their number has doubled, so that they stay bounded.
 func (s *Sender) alarm(h *alarms, m *message, at time.Duration) {
-	if len(*h) > 2*len(s.held)+64 {
-		*h = slices.DeleteFunc(*h, func(a alarm) bool { return a.m.ended() })
-		for i := len(*h)/2 - 1; i >= 0; i-- {
-			sink(*h, i, alarm.earlier)
+	if len(h.heap) > max(h.most, 2*len(s.held)+64) {
+		h.heap = slices.DeleteFunc(h.heap, func(a alarm) bool { return a.m.ended() })
+		for i := len(h.heap)/2 - 1; i >= 0; i-- {
+			sink(h.heap, i, alarm.earlier)
 		}
+		h.most = 2 * len(h.heap)
 	}
-	*h = push(*h, alarm{at, m}, alarm.earlier)
+	h.heap = push(h.heap, alarm{at, m}, alarm.earlier)
 }
 
 func (a alarm) earlier(b alarm) bool { return a.at < b.at }
 
-func (h *alarms) pop() (a alarm) {
-	a, *h = pull(*h, alarm.earlier)
-	return a
+// next is when the first is, never if there is none.
+func (h *alarms) next() time.Duration {
+	if len(h.heap) == 0 {
+		return never
+	}
+	return h.heap[0].at
+}
+
+func (h *alarms) pop() (m *message) {
+	var a alarm
+	a, h.heap = pull(h.heap, alarm.earlier)
+	return a.m
 }
 
 // push adds to a heap that is ordered by less.
--- a/rules/state.go
+++ b/rules/state.go
@@ -163,7 +163,7 @@
 	order     []*destination    // in the order first heard of
 	waiting   []*destination    // those of them that have messages, in the same order
 	msgSeq    int               // messages taken so far
-	dues      alarms            // the deadlines of what is held
+	dues      alarms            // the due times of what is held
 	windows   alarms            // the ends of keys' windows, and what can be tried no more
 	paused    alarms            // the ends of pauses after refusals
 	ran       map[*endpoint]int // messages held that may have run there
@@ -249,7 +249,7 @@
 		i, _ := slices.BinarySearchFunc(s.waiting, m.dest, bySeq)
 		s.waiting = slices.Insert(s.waiting, i, m.dest)
 	}
-	s.alarm(&s.dues, m, m.deadline)
+	s.alarm(&s.dues, m, s.due(m))
 	s.file(m)
 	m.dest.wanted.add(s.now, deliveredMemory, 1)
 	s.total.add(s.now, deliveredMemory, 1)
@@ -328,13 +328,10 @@
 
 // earliestDue is the earliest due time of what is held and not streamed, never if there is none.
 func (s *Sender) earliestDue() time.Duration {
-	for len(s.dues) > 0 && s.dues[0].m.ended() {
+	for len(s.dues.heap) > 0 && s.dues.heap[0].m.ended() {
 		s.dues.pop()
 	}
-	if len(s.dues) == 0 {
-		return never
-	}
-	return s.due(s.dues[0].m)
+	return s.dues.next()
 }
 
 // calling lists the endpoints that have calls out, in the order of the list.
