--- a/rules/backlog.go
+++ b/rules/backlog.go
@@ -193,8 +193,8 @@
 
 // resume files anew what is paused no more.
 func (s *Sender) resume() {
-	for len(s.paused) > 0 && s.paused[0].at <= s.now {
-		if m := s.paused.pop().m; m.group != nil && !m.group.ready {
+	for s.paused.next() <= s.now {
+		if m := s.paused.pop(); m.group != nil && !m.group.ready {
 			s.file(m)
 		}
 	}
@@ -203,11 +203,11 @@
 // fallen is what has come due, or to the end of its key's window, in the order of destinations and of arrival. Some of it may
 // be over, or wait for an outcome first.
 func (s *Sender) fallen() (list []*message) {
-	for len(s.dues) > 0 && s.due(s.dues[0].m) <= s.now {
-		list = append(list, s.dues.pop().m)
+	for s.dues.next() <= s.now {
+		list = append(list, s.dues.pop())
 	}
-	for len(s.windows) > 0 && s.windows[0].at <= s.now {
-		list = append(list, s.windows.pop().m)
+	for s.windows.next() <= s.now {
+		list = append(list, s.windows.pop())
 	}
 	slices.SortFunc(list, byArrival)
 	return slices.Compact(list)
@@ -239,29 +239,42 @@
 }
 
 // alarms order messages by a time of each, the earliest first. What has ended is dropped when it comes up.
-type alarms []alarm
+type alarms struct {
+	heap []alarm
+	most int // as many as there may be before what has ended is dropped
+}
 
 type alarm struct {
 	at time.Duration
 	m  *message
 }
 
-// alarm adds one, and drops what has ended once that is most of them, so that they stay bounded.
+// alarm adds one, and drops what has ended each time their number has doubled, so that they stay bounded.
 func (s *Sender) alarm(h *alarms, m *message, at time.Duration) {
-	if len(*h) > 2*len(s.held)+64 {
-		*h = slices.DeleteFunc(*h, func(a alarm) bool { return a.m.ended() })
-		for i := len(*h)/2 - 1; i >= 0; i-- {
-			sink(*h, i, alarm.earlier)
+	if len(h.heap) > max(h.most, 2*len(s.held)+64) {
+		h.heap = slices.DeleteFunc(h.heap, func(a alarm) bool { return a.m.ended() })
+		for i := len(h.heap)/2 - 1; i >= 0; i-- {
+			sink(h.heap, i, alarm.earlier)
 		}
+		h.most = 2 * len(h.heap)
 	}
-	*h = push(*h, alarm{at, m}, alarm.earlier)
+	h.heap = push(h.heap, alarm{at, m}, alarm.earlier)
 }
 
 func (a alarm) earlier(b alarm) bool { return a.at < b.at }
 
-func (h *alarms) pop() (a alarm) {
-	a, *h = pull(*h, alarm.earlier)
-	return a
+// next is when the first is, never if there is none.
+func (h *alarms) next() time.Duration {
+	if len(h.heap) == 0 {
+		return never
+	}
+	return h.heap[0].at
+}
+
+func (h *alarms) pop() (m *message) {
+	var a alarm
+	a, h.heap = pull(h.heap, alarm.earlier)
+	return a.m
 }
 
 // push adds to a heap that is ordered by less.
@@ -316,7 +329,7 @@
 	last   bool                // of equals the newest, else the oldest
 	passes func(*message) bool // what may be chosen at all; nil for all
 	best   []ranked            // so far, the best first
-	parts  []part              // heap of what was not looked at
+	parts  *[]part             // heap of what was not looked at; the sender's, so that it is made once
 }
 
 // part is a tree, and the messages next to it on either side, nil where there is none.
@@ -359,11 +372,11 @@
 // add ranks the messages of a group. The value must rise or fall evenly, or stay, between deadlines at which it changes its
 // course: a part without such a break holds no more than its edges, but for rounding, up to slack.
 func (r *ranking) add(g *group, value func(*message) float64, slack float64, breaks []time.Duration) {
-	r.parts = append(r.parts[:0], part{tree: g.root, most: math.Inf(1)})
-	for len(r.parts) > 0 {
+	parts := append((*r.parts)[:0], part{tree: g.root, most: math.Inf(1)})
+	for len(parts) > 0 {
 		var p part
-		if p, r.parts = pull(r.parts, r.sooner); r.hopeless(p) {
-			return
+		if p, parts = pull(parts, r.sooner); r.hopeless(p) {
+			break
 		}
 		m := p.tree
 		v := value(m)
@@ -380,10 +393,12 @@
 				}
 			}
 			if !r.hopeless(sub) {
-				r.parts = push(r.parts, sub, r.sooner)
+				parts = push(parts, sub, r.sooner)
 			}
 		}
 	}
+	clear(parts) // it refers to messages
+	*r.parts = parts
 }
 
 // first is the one that counts most, nil if there is none.
