--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"runtime"
+	"runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -249,5 +250,12 @@
 		slog.Group("discovery", "lists", s.registry.Lists.Load(), "failed", s.registry.Failed.Load(),
 			"notices_pending", s.notices.Pending(), "notices_failed", s.notices.Failed.Load()),
 		slog.Group("ledger", "broken", s.ledger.Stats().Broken),
-		slog.Group("process", "goroutines", runtime.NumGoroutine()))
+		slog.Group("process", append([]any{"goroutines", runtime.NumGoroutine()}, heap()...)...))
+}
+
+// heap is what the process holds in objects, garbage included, and what of it the last collection found in use, in bytes.
+func heap() []any {
+	s := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/gc/heap/live:bytes"}}
+	metrics.Read(s)
+	return []any{"heap", s[0].Value.Uint64(), "heap_live", s[1].Value.Uint64()}
 }
--- /dev/null
+++ b/lab/scale/fit.go
@@ -0,0 +1,169 @@
+// This file owns the fits: a straight line by least squares through all points of an axis but the largest, what is left over,
+// and the prediction of the largest. It must never extend what is no line.
+
+package scale
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Shape is what a figure does over an axis.
+type Shape string
+
+// The shapes. A figure is flat if the line's whole rise over the fitted points is no more than twice the largest residual; it is
+// no line if the largest residual is more than offLine of the largest fitted value.
+const (
+	Line   Shape = "line"
+	Flat   Shape = "flat"
+	NoLine Shape = "no line"
+	Few    Shape = "too few points"
+)
+
+const offLine = 0.15
+
+// Fit is one figure over one axis.
+type Fit struct {
+	Axis, Who, Figure string
+	Shape             Shape
+	Points, Samples   int
+	Base, Slope       float64
+	Residual          float64 // the largest, as a share of the largest fitted value
+	R2                float64
+	HeldOut           float64 // the largest point
+	Predicted         float64 // NaN for no line: it is not extended
+	Measured          float64 // mean there
+	Low, High         float64 // least and most there
+}
+
+// Off is how far the prediction was off, as a share of what was measured.
+func (f Fit) Off() float64 { return (f.Predicted - f.Measured) / f.Measured }
+
+// fitted are the figures that are fitted, by axis and row; all real senders are samples of one fit.
+var fitted = map[string][]struct{ who, figure string }{
+	"destinations": {{"real", "ready"}, {"real", "list"}, {"real", "cpu_start"}, {"real", "start_control"}, {"real", "resident"}, {"real", "heap"}, {"real", "heap_live"},
+		{"real", "cpu_rest"}, {"real", "failure_control"}, {"real", "restart_ready"}, {"real", "restart_list"}, {"real", "restart_control"}, {"real", "force_p99"},
+		{"hollow", "heap"}, {"hollow", "list"}, {"hollow", "step_p99"}},
+	"held": {{"real", "intake"}, {"real", "resident"}, {"real", "heap"}, {"real", "heap_live"}, {"real", "cpu_rest"}, {"real", "cpu_busy"}, {"real", "force_p50"}, {"real", "force_p99"}},
+	"hollow": {{"discovery", "control_rest"}, {"discovery", "calls_rest"}, {"discovery", "control_busy"}, {"discovery", "calls_busy"}, {"discovery", "watches"},
+		{"hollow", "list"}, {"hollow", "force_p50"}, {"hollow", "force_p99"}, {"hollow", "step_p99"}, {"real", "force_p50"}, {"real", "force_p99"}},
+	"changes": {{"real", "control_busy"}, {"real", "calls_busy"}, {"real", "cpu_busy"}, {"real", "force_p50"}, {"real", "force_p99"}, {"discovery", "control_busy"},
+		{"discovery", "calls_busy"}, {"hollow", "force_p99"}, {"hollow", "step_p99"}},
+	"down": {{"real", "resident"}, {"real", "heap_live"}, {"real", "cpu_rest"}, {"real", "cpu_busy"}, {"real", "force_p50"}, {"real", "force_p99"}, {"hollow", "step_p99"}},
+	"owed": {{"real", "restart_ready"}, {"real", "restart_list"}, {"real", "restart_resident"}, {"real", "resident"}, {"real", "cpu_rest"}},
+}
+
+// samples are the values of a figure over an axis, of rows that were measured, by rising point.
+func samples(rows []Row, axis, who, figure string) (xs, ys []float64) {
+	type sample struct{ x, y float64 }
+	var all []sample
+	for _, r := range rows {
+		kind := r.Who
+		if kind != "hollow" && kind != "discovery" {
+			kind = "real"
+		}
+		y, ok := r.Figures[figure]
+		if r.Axis == axis && kind == who && r.Failed == "" && ok && !math.IsNaN(y) {
+			all = append(all, sample{float64(r.Value), y})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b sample) int { return int(a.x - b.x) })
+	for _, s := range all {
+		xs, ys = append(xs, s.x), append(ys, s.y)
+	}
+	return xs, ys
+}
+
+// fit fits one figure and predicts its largest point from the others.
+func fit(axis, who, figure string, xs, ys []float64) Fit {
+	f := Fit{Axis: axis, Who: who, Figure: figure, Shape: Few, Base: math.NaN(), Slope: math.NaN(), Residual: math.NaN(), R2: math.NaN(), HeldOut: math.NaN(),
+		Predicted: math.NaN(), Measured: math.NaN(), Low: math.NaN(), High: math.NaN()}
+	f.Points, f.Samples = len(slices.Compact(slices.Clone(xs))), len(xs)
+	if f.Points < leastPoints {
+		return f
+	}
+	f.HeldOut = xs[len(xs)-1]
+	cut := slices.Index(xs, f.HeldOut)
+	rest := ys[cut:]
+	f.Measured, f.Low, f.High = stat.Mean(rest, nil), slices.Min(rest), slices.Max(rest)
+	xs, ys = xs[:cut], ys[:cut]
+	f.Base, f.Slope = stat.LinearRegression(xs, ys, nil, false)
+	f.R2 = stat.RSquared(xs, ys, nil, f.Base, f.Slope)
+	most, size := 0.0, 0.0
+	for i := range xs {
+		most, size = max(most, math.Abs(ys[i]-f.Base-f.Slope*xs[i])), max(size, math.Abs(ys[i]))
+	}
+	if size == 0 {
+		f.Shape, f.Residual, f.Predicted = Flat, 0, 0
+		return f
+	}
+	f.Residual = most / size
+	rise := math.Abs(f.Slope) * (xs[len(xs)-1] - xs[0])
+	switch {
+	case f.Residual > offLine:
+		f.Shape = NoLine
+		return f
+	case rise <= 2*most || rise < 0.02*size:
+		f.Shape, f.Base, f.Slope = Flat, stat.Mean(ys, nil), 0
+	default:
+		f.Shape = Line
+	}
+	f.Predicted = f.Base + f.Slope*f.HeldOut
+	return f
+}
+
+// Fits are the fits of all axes that rows hold.
+func Fits(rows []Row) []Fit {
+	var out []Fit
+	for _, axis := range axisNames {
+		for _, x := range fitted[axis] {
+			if xs, ys := samples(rows, axis, x.who, x.figure); len(xs) > 0 {
+				out = append(out, fit(axis, x.who, x.figure, xs, ys))
+			}
+		}
+	}
+	return out
+}
+
+// with gives a number its unit in a size that people read.
+func with(x float64, unit string) string {
+	if math.IsNaN(x) {
+		return "-"
+	}
+	if unit == "B" || unit == "B/s" {
+		for _, p := range []struct {
+			by   float64
+			name string
+		}{{1e9, "G"}, {1e6, "M"}, {1e3, "k"}} {
+			if math.Abs(x) >= p.by {
+				return short(x/p.by) + " " + p.name + unit
+			}
+		}
+	}
+	if unit == "" {
+		return short(x)
+	}
+	return short(x) + " " + unit
+}
+
+// short is three digits of a number.
+func short(x float64) string {
+	switch a := math.Abs(x); {
+	case math.IsNaN(x):
+		return "-"
+	case a == 0:
+		return "0"
+	case a >= 100:
+		return fmt.Sprintf("%.0f", x)
+	case a >= 10:
+		return fmt.Sprintf("%.1f", x)
+	case a >= 1:
+		return fmt.Sprintf("%.2f", x)
+	case a >= 0.001:
+		return fmt.Sprintf("%.4f", x)
+	}
+	return fmt.Sprintf("%.2g", x)
+}
--- /dev/null
+++ b/lab/scale/process.go
@@ -0,0 +1,355 @@
+// This file owns the real senders: processes, their configuration and folder, and what is handed in to them. It must never
+// leave a process running: each is killed when its step ends, and dies with this program whatever ends it.
+
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"eiderhaven/internal/http1"
+)
+
+// nursery starts processes from one thread, which lives as long as the run: the kernel ends a process whose parent's thread
+// has ended, so that not even this program's own death leaves one behind.
+type nursery struct{ starts chan func() }
+
+func newNursery(ctx context.Context) *nursery {
+	n := &nursery{starts: make(chan func())}
+	go func() {
+		runtime.LockOSThread() // never unlocked: the thread ends with the goroutine
+		for {
+			select {
+			case f := <-n.starts:
+				f()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return n
+}
+
+func (n *nursery) start(ctx context.Context, cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL} // a terminal's Ctrl-C is for this program to pass on
+	done := make(chan error, 1)
+	select {
+	case n.starts <- func() { done <- cmd.Start() }:
+		return <-done
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// sender is one real sender.
+type sender struct {
+	n       int
+	program string
+	dir     string
+	listen  string
+	gate    *gate
+	nursery *nursery
+	idle    chan net.Conn // to it
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}
+	ended   error // why it ended, once done is closed
+	wanted  bool  // it was told to end
+	started time.Time
+	back    time.Time // ready since
+	log     tail
+}
+
+// tail keeps the end of a log.
+type tail struct {
+	mu    sync.Mutex
+	text  []byte
+	lines int
+}
+
+const tailSize = 64 << 10
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = append(t.text, p...)
+	if n := len(t.text) - tailSize; n > 0 {
+		t.text = append(t.text[:0], t.text[n:]...)
+	}
+	t.lines += strings.Count(string(p), "msg=counters")
+	return len(p), nil
+}
+
+func (t *tail) said() (text string, counters int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(t.text), t.lines
+}
+
+// lastWord is the last line of a log that warns or ends.
+func (t *tail) lastWord() string {
+	text, _ := t.said()
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	for i := len(lines) - 1; i >= 0; i-- {
+		if strings.Contains(lines[i], "level=WARN") || strings.Contains(lines[i], "level=ERROR") || !strings.Contains(lines[i], "level=") {
+			_, msg, found := strings.Cut(lines[i], "msg=")
+			if !found {
+				msg = lines[i]
+			}
+			return strings.ReplaceAll(msg, `"`, "'")
+		}
+	}
+	return ""
+}
+
+// Classes of the messages: one that may run twice, one that may not, one that is held for an hour.
+const (
+	classSafe = "stock"
+	classOnce = "payment"
+	classHeld = "archive"
+)
+
+const holdFor = time.Hour
+
+// settingsFor is the settings object of the senders of a step.
+func settingsFor(p *Plan, s shape) map[string]any {
+	var names []string
+	for z := range zones {
+		names = append(names, zoneName(z))
+	}
+	class := func(name, effect string, aim, deadline time.Duration) map[string]any {
+		return map[string]any{"name": name, "effect": effect, "goal_time_us": aim.Microseconds(), "deadline_us": deadline.Microseconds(), "late_worth": 0.4, "worth": 1}
+	}
+	return map[string]any{
+		"allowed": map[string]any{"connect_timeout_us": 1_000_000, "keepalive_us": 10_000_000, "max_attempts": 12, "max_open": p.room(),
+			"max_retry_after_us": 3_000_000, "may_cancel": true, "peers": false, "retry_after": true},
+		"az": 0, "balancers": s.real + s.hollow,
+		"extra":   map[string]any{"batch_by_kind": []int{1}, "late": "halving", "routes_apart": []bool{false}, "slots": p.Senders.Slots},
+		"flavors": []string{"any"}, "over_share_worth": 0.1, "parties": []any{}, "registry_mode": "push",
+		"request_classes": []any{class(classSafe, "idempotent", 2500*time.Millisecond, 16*time.Second),
+			class(classOnce, "at_most_once", 2500*time.Millisecond, 16*time.Second), class(classHeld, "idempotent", time.Minute, holdFor)},
+		"safety": map[string]any{"cold_share": 0.2, "drain_grace_us": 500_000, "fall_us": 2_000_000, "grace_to_answer_us": 20_000,
+			"overload_factor": 2.0, "warm_up_us": 10_000_000},
+		"tick_us": 5000, "weights": "rough", "zones": names,
+	}
+}
+
+// newSender writes a sender's configuration; it has not started.
+func newSender(p *Plan, s shape, n int, nursery *nursery, program, dir, listen string, g *gate) (*sender, error) {
+	one := &sender{n: n, program: program, dir: filepath.Join(dir, fmt.Sprint("s", n)), listen: listen, gate: g, nursery: nursery, idle: make(chan net.Conn, clientConns)}
+	text, err := json.Marshal(map[string]any{
+		"name": fmt.Sprint("n", n), "listen": listen, "discovery": g.addr, "seed": fmt.Sprintf("%016x", p.Seed*1000+uint64(n)),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": p.Senders.MemoryMB, "sockets": 1024, "disk_mb": p.Senders.DiskMB},
+		"known":  map[string]any{"seq": 0, "whole": true, "hosts": []any{}}, "settings": settingsFor(p, s),
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(filepath.Join(one.dir, "state"), 0o755); err != nil {
+		return nil, err
+	}
+	return one, os.WriteFile(filepath.Join(one.dir, "config.json"), text, 0o600)
+}
+
+// start starts the process; what is in its folder it takes up.
+func (s *sender) start(ctx context.Context) error {
+	cmd := exec.Command(s.program)
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+filepath.Join(s.dir, "config.json"), "LB_STATE="+filepath.Join(s.dir, "state"),
+		"LB_NAME=", "LB_LISTEN=", "LB_DISCOVERY=", "EIDERHAVEN_TEST_PROCESS=1") // the last lets a test binary be the sender
+	cmd.Stderr = &s.log
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started, s.back = time.Now(), time.Time{}
+	if err := s.nursery.start(ctx, cmd); err != nil {
+		return fmt.Errorf("%s: %w", s.program, err)
+	}
+	done := make(chan struct{})
+	s.cmd, s.done, s.wanted, s.ended = cmd, done, false, nil
+	go func() {
+		err := cmd.Wait()
+		s.mu.Lock()
+		if s.cmd == cmd {
+			s.ended = errors.New("ended")
+			if err != nil {
+				s.ended = err
+			}
+		}
+		s.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+// died tells why the process has ended though nobody told it to.
+func (s *sender) died() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended == nil || s.wanted {
+		return nil
+	}
+	return fmt.Errorf("the process died: %w", s.ended)
+}
+
+func (s *sender) pid() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cmd.Process.Pid
+}
+
+// kill ends the process at once and waits for its end.
+func (s *sender) kill() {
+	s.mu.Lock()
+	cmd, done := s.cmd, s.done
+	s.wanted = true
+	s.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Kill() // it may have ended already
+	<-done
+	for {
+		select {
+		case nc := <-s.idle:
+			nc.Close()
+		default:
+			return
+		}
+	}
+}
+
+// since is when the sender was last started, or has been ready since if it was not at once.
+func (s *sender) since() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started
+}
+
+// backAt is since when it is ready, zero if it is not.
+func (s *sender) backAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.back
+}
+
+// errSlow tells of a sender that did not get there in the plan's time.
+var errSlow = errors.New("not in time")
+
+// poll asks until f is true, the sender has died, the limit has passed or the run ends.
+func (s *sender) poll(ctx context.Context, what string, limit time.Duration, f func() bool) error {
+	end := time.Now().Add(limit)
+	for pause := 2 * time.Millisecond; !f(); pause = min(2*pause, 20*time.Millisecond) {
+		if err := s.died(); err != nil {
+			return err
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s: %w (%v); its last word: %s", what, errSlow, limit, s.log.lastWord())
+		}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(pause):
+		}
+	}
+	return nil
+}
+
+// ready waits until the sender serves clients and returns how long after its start that was.
+func (s *sender) ready(ctx context.Context, limit time.Duration) (time.Duration, error) {
+	err := s.poll(ctx, "not ready", limit, func() bool {
+		r, err := s.ask(http1.AppendRequest(nil, "GET", "/health/ready", http1.Header{{Name: "Host", Value: s.listen}}, nil), time.Second)
+		return err == nil && r.Status == 200
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.back = time.Now()
+	}
+	return time.Since(s.started), err
+}
+
+// clientConns are the connections that clients keep to one sender.
+const clientConns = 128
+
+// ask makes one request on a kept connection, or on a new one.
+func (s *sender) ask(request []byte, wait time.Duration) (*http1.Response, error) {
+	var nc net.Conn
+	var err error
+	select {
+	case nc = <-s.idle:
+	default:
+		if nc, err = net.DialTimeout("tcp", s.listen, wait); err != nil {
+			return nil, err
+		}
+	}
+	if err := nc.SetDeadline(time.Now().Add(wait)); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	if _, err = nc.Write(request); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	r, err := http1.ReadResponse(bufio.NewReaderSize(nc, 512), 64<<10)
+	if err != nil || r.Close {
+		nc.Close()
+		return r, err
+	}
+	select {
+	case s.idle <- nc:
+	default:
+		nc.Close()
+	}
+	return r, nil
+}
+
+// hand hands a message in and returns the status, 0 for no answer.
+func (s *sender) hand(id, class string, dest int, lasts time.Duration) int {
+	fields := http1.Header{{Name: "Host", Value: s.listen}, {Name: "Req-Id", Value: id}, {Name: "Req-Kind", Value: class},
+		{Name: "Req-Deadline-Ms", Value: strconv.FormatInt(lasts.Milliseconds(), 10)}, {Name: "Envelope", Value: "dest=" + strconv.Itoa(dest)}}
+	r, err := s.ask(http1.AppendRequest(nil, "POST", "/"+class, fields, []byte("hello")), 2*time.Second)
+	if err != nil {
+		return 0
+	}
+	return r.Status
+}
+
+// counters asks the process for its counters and returns the line.
+func (s *sender) counters(ctx context.Context, limit time.Duration) (string, error) {
+	_, before := s.log.said()
+	s.mu.Lock()
+	err := s.cmd.Process.Signal(syscall.SIGUSR1)
+	s.mu.Unlock()
+	if err != nil {
+		return "", err
+	}
+	if err := s.poll(ctx, "no counters", limit, func() bool { _, n := s.log.said(); return n > before }); err != nil {
+		return "", err
+	}
+	text, _ := s.log.said()
+	return text[strings.LastIndex(text, "msg=counters"):], nil
+}
+
+// counter reads one figure of a line of counters; false if the line has none of that name.
+func counter(line, name string) (float64, bool) {
+	m := regexp.MustCompile(regexp.QuoteMeta(name) + `=([0-9.]+)`).FindStringSubmatch(line)
+	if m == nil {
+		return 0, false
+	}
+	x, err := strconv.ParseFloat(m[1], 64)
+	return x, err == nil
+}
