--- a/cmd/eiderlab/scale.go
+++ b/cmd/eiderlab/scale.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"debug/buildinfo"
 	"errors"
 	"fmt"
@@ -98,5 +99,8 @@
 			}
 		}
 	}
+	if text, err := os.ReadFile(program); err == nil {
+		build += fmt.Sprintf(", SHA-256 %.12x", sha256.Sum256(text))
+	}
 	return fmt.Sprintf("The daemon: %s. The machine: %d cores, %d GB, %s/%s. Measured on loopback; one play each.", strings.TrimSpace(build), m.Cores, m.Memory>>30, runtime.GOOS, runtime.GOARCH)
 }
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -305,12 +305,10 @@
 			h.registry.Watch()
 		}
 	}
-	if h.number%16 == 0 { // now and then
-		for id, m := range h.held {
-			if now > m.due+endWithin {
-				h.counts.late++
-				delete(h.held, id)
-			}
+	for id, m := range h.held {
+		if now > m.due+endWithin {
+			h.counts.late++
+			delete(h.held, id)
 		}
 	}
 }
