--- a/lab/scale/folder.go
+++ b/lab/scale/folder.go
@@ -320,7 +320,7 @@
 			c.Lines = append(c.Lines, line)
 			if at := slices.IndexFunc(fits, func(x Fit) bool { return x.Axis == d.axis && x.Who == l.who && x.Figure == l.figure && x.Shape == Line }); at >= 0 && !d.log {
 				x := fits[at]
-				c.Lines = append(c.Lines, chart.Line{Name: "fitted, largest held out", Dashed: true, X: []float64{xs[0], x.HeldOut},
+				c.Lines = append(c.Lines, chart.Line{Name: l.figure + ", fitted without the largest", Dashed: true, X: []float64{xs[0], x.HeldOut},
 					Y: []float64{x.Base + x.Slope*xs[0], x.Predicted}})
 			}
 		}
