--- a/lab/scale/point.go
+++ b/lab/scale/point.go
@@ -167,12 +167,12 @@
 	st.sleep(settle)
 	st.window(sh, disc, "rest", window)
 	st.each(sh, func(s *sender, row *Row) error { return memory(st.ctx, s, row) })
-	if axis == "destinations" {
-		st.each(sh, func(s *sender, row *Row) error { return st.failure(s, row) })
-	}
 	if axis != "owed" {
 		r.busy(st, sh, disc, window)
 	}
+	if axis == "destinations" { // last: what it leaves to do is no part of the windows
+		st.each(sh, func(s *sender, row *Row) error { return st.failure(s, row) })
+	}
 	disc.Figures["watches"] = float64(st.disc.mostWatches.Load())
 	if err := context.Cause(st.ctx); err != nil { // the step was given up
 		for _, row := range sh.rows {
