--- a/internal/capacity/daemon_test.go
+++ b/internal/capacity/daemon_test.go
@@ -259,7 +259,7 @@
 // BenchmarkDaemonWholeLists is the same where discovery has the whole list and hands it out: what is asked of it by a sender that
 // is left alone for 4 s.
 func BenchmarkDaemonWholeLists(b *testing.B) {
-	measure(b, 2, "destinations", []int{7500, 15_000, 30_000, 60_000}, func(n int) map[string]float64 {
+	measure(b, 2, "destinations", []int{9000, 18_000, 36_000, 72_000}, func(n int) map[string]float64 {
 		whole := entries(n, "127.0.0.1:9000")
 		disc := newDiscovery(b, whole)
 		defer disc.Close()
