--- a/internal/intake/endings_test.go
+++ b/internal/intake/endings_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -181,3 +182,88 @@
 		t.Errorf("%d connections open, cap 16", n)
 	}
 }
+
+// A request may come in pieces of any size, and many may come at once: each is read whole, taken on once and answered in its turn.
+func TestRequestsInPiecesAndAtOnce(t *testing.T) {
+	for _, size := range []int{1, 7, 64} {
+		s := newSite(t, nil, nil)
+		p, id := s.dial(), fmt.Sprint("cut-", size)
+		for text := request(id); text != ""; {
+			n := min(size, len(text))
+			p.send(text[:n])
+			text = text[n:]
+		}
+		if r := p.answer(); r.Status != 202 {
+			t.Errorf("in pieces of %d: %+v", size, r)
+		}
+		if r := s.ask(request(id)); r.Status != 409 {
+			t.Errorf("in pieces of %d: its name again is answered %d, want that it is held", size, r.Status)
+		}
+	}
+	s := newSite(t, nil, nil)
+	p, all, want := s.dial(), "", []int{}
+	for i := range 20 {
+		if i%4 == 3 { // the one before, once more
+			all, want = all+request(fmt.Sprint("m", i-1)), append(want, 409)
+			continue
+		}
+		all, want = all+request(fmt.Sprint("m", i)), append(want, 202)
+	}
+	p.send(all)
+	for i, status := range want {
+		if r := p.answer(); r.Status != status || r.Close {
+			t.Errorf("request %d of 20 at once: %+v, want %d", i, r, status)
+		}
+	}
+}
+
+// Clients that send much at once and go, in order or by a reset, leave no connection behind, and who stays is served meanwhile.
+func TestMuchAtOnceAndGone(t *testing.T) {
+	s := newSite(t, nil, func(c *Config) { c.MaxConns = 8 })
+	old := s.dial()
+	old.send(request("first"))
+	if r := old.answer(); r.Status != 202 {
+		t.Fatalf("status %d", r.Status)
+	}
+	for name, text := range map[string]string{
+		"requests": strings.Repeat(request("same"), 2000), "noise": strings.Repeat("\x00\xff\r\n", 100<<10),
+		"a body": strings.Replace(good, "Content-Length: 2", "Content-Length: 65536", 1) + strings.Repeat("x", 60<<10),
+	} {
+		for i := range 12 {
+			nc := s.dial().Conn.(*net.TCPConn)
+			if i%2 == 0 {
+				nc.SetLinger(0)
+			}
+			nc.SetWriteDeadline(time.Now().Add(20 * time.Millisecond)) // no answer is read: the server stops reading at some point
+			io.WriteString(nc, text)
+			nc.Close()
+		}
+		fresh := s.dial()
+		fresh.send(request("after-" + strings.ReplaceAll(name, " ", "-")))
+		if r := fresh.answer(); r.Status != 202 {
+			t.Errorf("%s: a newcomer got %d", name, r.Status)
+		}
+		fresh.Close()
+		testkit.Eventually(t, name+" gone", func() bool { return s.Open() == 1 })
+	}
+	old.send(request("last"))
+	if r := old.answer(); r.Status != 202 {
+		t.Errorf("who was there before got %d", r.Status)
+	}
+}
+
+// What is written leaves at once: bytes that the system held back for more would go with a close over unread ones.
+func TestAnswersAreNotHeldBack(t *testing.T) {
+	s := newSite(t, nil, nil)
+	p := s.dial()
+	p.send(request("a"))
+	p.answer()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		testkit.NoDelay(t, c.nc)
+	}
+	if len(s.conns) != 1 {
+		t.Errorf("%d connections, want one", len(s.conns))
+	}
+}
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -538,6 +538,17 @@
 	}
 }
 
+// A call's last byte, which may go after the others, is not held back by the system.
+func TestCallsAreNotHeldBack(t *testing.T) {
+	srv := listen(t, ok)
+	s := newSide(t, nil)
+	s.outcome(srv.Addr())
+	testkit.Eventually(t, "idle", func() bool { return s.idleAt(srv.Addr()) == 1 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	testkit.NoDelay(t, s.idle[peer(srv.Addr())][0].nc)
+}
+
 // One call at a time travels on a connection.
 func TestOneCallAConnection(t *testing.T) {
 	release := make(chan struct{})
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -54,10 +56,12 @@
 	return fmt.Sprintf(`{"host":%q,"dial":"127.0.0.1:9000","site":"there","class":"all","block":3,"health":%q,"share":2.5,"born_ms":0}`, host, health)
 }
 
+// A list may come indented.
 func TestParse(t *testing.T) {
-	seq, l, err := Parse([]byte(`{"seq":41,"whole":true,"hosts":[`+entry("a", "Ready")+","+entry("b", "Terminating")+
-		`,{"host":"c","health":"Gone"},{"host":"d","dial":"127.0.0.1:1","site":"x","class":"y","block":0,"health":"Ready"}],"more":1}`), names)
-	if err != nil {
+	text := []byte(`{"seq":41,"whole":true,"hosts":[` + entry("a", "Ready") + "," + entry("b", "Terminating") +
+		`,{"host":"c","health":"Gone"},{"host":"d","dial":"127.0.0.1:1","site":"x","class":"y","block":0,"health":"Ready"}],"more":1}`)
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, text, "\t", "  "); err != nil {
 		t.Fatal(err)
 	}
 	want := []exchange.Host{
@@ -66,12 +70,18 @@
 		{Peer: exchange.Peer{Name: "c"}, Kind: 2, Zone: 2, Gone: true},
 		{Peer: exchange.Peer{Name: "d", Dial: "127.0.0.1:1"}, Kind: 2, Zone: 2},
 	}
-	if seq != 41 || !l.Whole || len(l.Hosts) != len(want) {
-		t.Fatalf("got seq %d, %+v", seq, l)
-	}
-	for i, w := range want {
-		if l.Hosts[i] != w {
-			t.Errorf("host %d: got %+v, want %+v", i, l.Hosts[i], w)
+	for _, text := range [][]byte{text, indented.Bytes()} {
+		seq, l, err := Parse(text, names)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seq != 41 || !l.Whole || len(l.Hosts) != len(want) {
+			t.Fatalf("got seq %d, %+v", seq, l)
+		}
+		for i, w := range want {
+			if l.Hosts[i] != w {
+				t.Errorf("host %d: got %+v, want %+v", i, l.Hosts[i], w)
+			}
 		}
 	}
 }
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -1,8 +1,10 @@
 // Package testkit holds what the tests of several packages share: waiting for what another goroutine brings about,
-// with a limit that only a failure reaches. It owns nothing else and is imported by tests alone.
+// with a limit that only a failure reaches, and a look at a socket. It owns nothing else and is imported by tests alone.
 package testkit
 
 import (
+	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -30,3 +32,17 @@
 		}
 	}
 }
+
+// NoDelay fails the test unless small writes to a connection leave at once (TCP_NODELAY, RFC 9293, 3.7.4).
+func NoDelay(t testing.TB, nc net.Conn) {
+	t.Helper()
+	raw, err := nc.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := 0
+	err = raw.Control(func(fd uintptr) { set, _ = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY) })
+	if err != nil || set == 0 {
+		t.Errorf("TCP_NODELAY is %d (%v)", set, err)
+	}
+}
