The end does not wait for a client that sends on and reads no answer: 0.1 s instead of 19.9 s

Found while looking at what could make TestEndInTime take longer than the time handed down. Cause: Server.Close set the read deadlines alone, so that an answer being written to a client whose buffers were full kept its 20 s (Slow), and Close waits for all connections; and the deadline of a write was reckoned under the lock but set outside it, so that it could overwrite one of Close's. Now Close sets the write deadlines too, and limitWrite sets its own under the lock. Test: TestEndOutlivesAClientThatReadsNothing ("the end took 19.890478174s, allowed were 0.1 s" without it).

--- a/internal/intake/endings_test.go
+++ b/internal/intake/endings_test.go
@@ -267,3 +267,40 @@
 		t.Errorf("%d connections, want one", len(s.conns))
 	}
 }
+
+// Nor does a client hold up the end that sends on and on and reads no answer: the write that waits for it ends with the time handed down.
+func TestEndOutlivesAClientThatReadsNothing(t *testing.T) {
+	s := newSite(t, nil, nil) // 20 s to write an answer
+	p := s.dial()
+	p.Conn.(*net.TCPConn).SetReadBuffer(4096)
+	many := strings.Repeat("GET /health/live HTTP/1.1\r\n\r\n", 1000)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		for {
+			if _, err := io.WriteString(p, many); err != nil {
+				return
+			}
+		}
+	}()
+	stuck, last := 0, int64(-1)
+	testkit.Eventually(t, "a write that waits", func() bool { // no answer for 100 looks: what the client has not read fills the system's buffers
+		n := s.Counts.Requests.Load()
+		if n == last && n > 0 {
+			stuck++
+		} else {
+			stuck, last = 0, n
+		}
+		return stuck > 100
+	})
+	s.ln.Close()
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	s.Close(ctx)
+	if took := time.Since(begun); took > 5*time.Second { // it would take what is left of the 20 s
+		t.Errorf("the end took %v, allowed were 0.1 s", took)
+	}
+	p.Close()
+	<-sent
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -163,6 +163,7 @@
 	}
 	for c := range s.conns {
 		c.leave(s.soon(time.Now()))
+		c.nc.SetWriteDeadline(s.endBy) // a client that sends on and reads nothing has an answer waiting
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
@@ -327,7 +328,7 @@
 	if ends {
 		a.fields = append(a.fields, http1.Field{Name: "Connection", Value: "close"})
 	}
-	c.nc.SetDeadline(s.writeBy())
+	s.limitWrite(c)
 	c.buf = http1.AppendResponse(c.buf[:0], a.status, a.fields, []byte(a.text))
 	if _, err := c.nc.Write(c.buf); err != nil {
 		if taken != "" {
@@ -347,14 +348,15 @@
 	return s.closing || c.leaving
 }
 
-// writeBy is when an answer must be written.
-func (s *Server) writeBy() time.Time {
+// limitWrite sets when an answer must be written, under the lock, so that Close may set it earlier.
+func (s *Server) limitWrite(c *client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	end := time.Now().Add(s.cfg.Slow)
 	if s.closing {
-		return s.endBy
+		end = s.endBy
 	}
-	return time.Now().Add(s.cfg.Slow)
+	c.nc.SetDeadline(end)
 }
 
 // pressed tells whether a connection ends to make room for another.
