Lists are read entry by entry, bounded by memory_mb instead of 4 MiB

A list past 4 MiB, some 36,000 endpoints, counted as not heard. It is read now by the standard library's decoder as it comes, no copy of its text is held, and what its entries take is bounded by a quarter of the runtime's memory limit.

--- a/cmd/eiderhaven/config.go
+++ b/cmd/eiderhaven/config.go
@@ -117,6 +117,13 @@
 	return without
 }
 
+// heap is the runtime's limit in bytes: files count as memory, and a quarter of the rest is for the kernel's buffers.
+func (c *config) heap() int64 { return (c.memory - c.disk) / 4 * 3 }
+
+// maxList is how many bytes of memory a list of endpoints may take as it is read: besides it there are the old one, what the module
+// is told of the new one, and what it makes of it. Some 9,000 endpoints always fit: below that memory_mb is a slip.
+func (c *config) maxList() int64 { return max(c.heap()/4, 1<<20) }
+
 func (c *config) check() error {
 	for _, addr := range []string{c.listen, c.discovery} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
--- a/cmd/eiderhaven/main.go
+++ b/cmd/eiderhaven/main.go
@@ -31,8 +31,8 @@
 		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.cores))))
-	debug.SetMemoryLimit((cfg.memory - cfg.disk) / 4 * 3) // files count as memory; the rest is for the kernel's buffers
-	debug.SetGCPercent(300)                               // little is live: fewer collections for a part of a core, and the limit above still holds
+	debug.SetMemoryLimit(cfg.heap())
+	debug.SetGCPercent(300) // little is live: fewer collections for a part of a core, and the limit above still holds
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", cfg.name)
 	s, err := newService(cfg, log)
 	if err != nil {
--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -88,6 +88,7 @@
 	s.ledger = led
 	s.where = registry.NewAddress(cfg.discovery)
 	s.registry = registry.New(s.where, cfg.names, log)
+	s.registry.MaxList = cfg.maxList()
 	s.notices = registry.NewNotices(s.where, log)
 	clients, calls := share(cfg.sockets, cfg.settings.Slots)
 	s.pool = outbound.New(outbound.Config{ConnectTimeout: cfg.settings.ConnectTimeout, KeepAlive: cfg.settings.KeepAlive,
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -159,53 +159,71 @@
 // ReadPart reads one answer, which may be an interim one. If the first line came and what follows it did not, the
 // response is returned with the error, so that its status can be told.
 func ReadPart(br *bufio.Reader, most int) (*Response, error) {
+	r, length, err := readHead(br)
+	if err != nil || length == 0 {
+		return r, err
+	}
+	return r, r.readBody(br, length, most)
+}
+
+// ReadResponseHead reads the head of an answer, past the interim ones ahead of it, and leaves its body to the caller: so many
+// bytes, or all to the end of the connection if the length is negative.
+func ReadResponseHead(br *bufio.Reader) (r *Response, length int, err error) {
+	for range MaxInterim + 1 {
+		if r, length, err = readHead(br); err != nil || r.Status >= 200 {
+			return r, length, err
+		}
+	}
+	return nil, 0, malformed("too many interim answers")
+}
+
+func readHead(br *bufio.Reader) (r *Response, length int, err error) {
 	room := MaxHead
 	line, bad := readLine(br, &room)
 	if bad != nil && line == "" {
-		return nil, bad
+		return nil, 0, bad
 	}
 	version, rest, _ := strings.Cut(line, " ")
 	minor, err := minorVersion(version)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	code, _, _ := strings.Cut(rest, " ")
 	status, err := strconv.Atoi(code)
 	if err != nil || len(code) != 3 || status < 100 {
-		return nil, malformed("bad status line")
+		return nil, 0, malformed("bad status line")
 	}
-	r := &Response{Status: status, Close: true}
+	r = &Response{Status: status, Close: true}
 	if bad != nil { // in the reason, which means nothing
-		return r, bad
+		return r, 0, bad
 	}
 	if r.Header, err = readHeader(br, &room); err != nil {
-		return r, noEOF(err)
+		return r, 0, noEOF(err)
 	}
 	r.Close = closes(r.Header, minor)
 	if status < 200 || status == 204 || status == 304 {
-		return r, nil
+		return r, 0, nil
 	}
-	return r, r.readBody(br, most)
-}
-
-func (r *Response) readBody(br *bufio.Reader, most int) error {
 	if r.Header.has("Transfer-Encoding") {
 		r.Close = true
-		return malformed("transfer codings are not supported")
+		return r, 0, malformed("transfer codings are not supported")
 	}
-	n, told, err := contentLength(r.Header)
-	if err == nil && n > most {
-		err = malformed("answer of %d bytes is too large", n)
+	length, told, err := contentLength(r.Header)
+	if err != nil || !told { // without a length it ends with the connection
+		r.Close, length = true, -1
 	}
-	if err != nil {
+	return r, length, err
+}
+
+func (r *Response) readBody(br *bufio.Reader, length, most int) (err error) {
+	if length > most {
 		r.Close = true
-		return err
+		return malformed("answer of %d bytes is too large", length)
 	}
-	if told {
-		r.Body, err = ReadBody(br, n)
+	if length >= 0 {
+		r.Body, err = ReadBody(br, length)
 		return err
 	}
-	r.Close = true // it ends with the connection
 	r.Body, err = io.ReadAll(io.LimitReader(br, int64(most)+1))
 	if err == nil && len(r.Body) > most {
 		err = malformed("answer is too large")
--- a/internal/registry/notices.go
+++ b/internal/registry/notices.go
@@ -104,7 +104,7 @@
 // post delivers one batch. One that was not accepted goes back to the end of the queue; where the platform could
 // not read it, notices go one by one from then on, so that a bad one does not hold up the others.
 func (n *Notices) post(ctx context.Context, at *place, limit time.Duration, list []ledger.Notice, sink Sink) bool {
-	resp, err := n.client.do(ctx, at, limits{limit, limit}, "POST", "/status", encode(list))
+	resp, err := n.client.do(ctx, at, limits{limit, limit}, "POST", "/status", encode(list), nil)
 	if err == nil && resp.Status == 204 {
 		ids := make([]string, len(list))
 		for i, one := range list {
