--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -82,6 +82,11 @@
 // errSlow tells of an answer that began and then lagged or fell silent.
 var errSlow = errors.New("the answer takes too long")
 
+// answerError tells of an answer that came and cannot be used.
+type answerError struct{ error }
+
+func (e *answerError) Unwrap() error { return e.error }
+
 // lease is the time that a request still has. What comes of its answer extends it, by the time in which that must come at the
 // least. Guards against an answer that dribbles or falls silent, whatever length it tells, and lets a long one arrive; it hurts
 // where the link to discovery is slower than leastRate, and a list longer than rest times that.
@@ -122,6 +127,7 @@
 	br    *bufio.Reader
 	left  int // bytes, negative if it ends with the connection
 	lease *lease
+	cut   bool // the connection failed before its end
 }
 
 // Read implements [io.Reader]. A connection that ends before the told length is io.ErrUnexpectedEOF.
@@ -140,6 +146,7 @@
 			err = io.ErrUnexpectedEOF
 		}
 	}
+	b.cut = b.cut || err != nil && !errors.Is(err, io.EOF)
 	return n, err
 }
 
@@ -200,12 +207,17 @@
 	}
 	lease.begun()
 	resp, length, err := http1.ReadResponseHead(c.br)
-	if err != nil {
+	var malformed *http1.Error
+	if errors.As(err, &malformed) {
+		return resp, &answerError{err}
+	} else if err != nil {
 		return resp, err
 	}
-	b := &body{c.br, length, lease}
+	b := &body{br: c.br, left: length, lease: lease}
 	if take != nil && resp.Status == 200 {
-		if err := take(b, length); err != nil {
+		if err := take(b, length); err != nil && !b.cut {
+			return resp, &answerError{err}
+		} else if err != nil {
 			return resp, err
 		}
 	} else if n, err := io.Copy(io.Discard, io.LimitReader(b, maxPlain+1)); err != nil || n > maxPlain {
