--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -67,6 +67,8 @@
 	nc  net.Conn
 	br  *bufio.Reader
 	buf []byte
+
+	began time.Time // when the last answer began
 }
 
 const (
@@ -206,6 +208,7 @@
 		return nil, err
 	}
 	lease.begun()
+	c.began = time.Now()
 	resp, length, err := http1.ReadResponseHead(c.br)
 	var malformed *http1.Error
 	if errors.As(err, &malformed) {
--- a/internal/registry/list_test.go
+++ b/internal/registry/list_test.go
@@ -296,12 +296,12 @@
 	}
 }
 
-// A long list over a link that takes its time is heard at the first go, also where that lasts longer than an answer may lag; one that falls
-// silent on its way is given up soon, however fast it came before.
+// A long list over a link that takes its time is heard at the first go, also where that lasts longer than an answer may lag, and makes the
+// limits of later calls no longer; one that falls silent on its way is given up soon, however fast it came before.
 func TestALongListMayTakeItsTime(t *testing.T) {
 	t.Parallel()
 	text := longList(1, 30_000) // 3.5 MB
-	_, s, r := follow(t, paced(text, 3*leastRate, len(text)), silence)
+	_, s, r := follow(t, paced(text, 3*leastRate, len(text)), silence, silence, says(list(2, false, entry("a", "Ready"))), silence)
 	begun := time.Now()
 	if l := testkit.Next(t, s.lists, "long list"); len(l.Hosts) != 30_000 || r.Failed.Load() > 0 {
 		t.Errorf("%d entries after %d failures", len(l.Hosts), r.Failed.Load())
@@ -309,6 +309,11 @@
 	if took := time.Since(begun); took < leastRest {
 		t.Errorf("it took %v only: the test shows nothing", took)
 	}
+	begun = time.Now()
+	testkit.Next(t, s.lists, "change")
+	if took, most := time.Since(begun), watchWait+watchGrace+leastBegin+3*firstPause+time.Second; took > most { // a second for a busy machine
+		t.Errorf("the change after a silent watch and a lost call was heard after %v, want %v", took, most)
+	}
 
 	d, s, _ := follow(t, paced(text, 100<<20, 3<<20), says(list(1, true)), silence)
 	testkit.Eventually(t, "first call", func() bool { return d.at.Load() == 1 })
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -72,7 +72,7 @@
 	Keeper Keeper
 
 	// MaxList is how many bytes of memory a list may take, by its entries and their names and addresses. Set it before Run; by
-	// default it is 32 MiB, some 280,000 endpoints. What is longer is refused.
+	// default it is 32 MiB, some 340,000 endpoints. What is longer is refused.
 	MaxList int64
 }
 
@@ -214,7 +214,7 @@
 	case !watching && errors.Is(err, os.ErrDeadlineExceeded):
 		r.begin = min(r.begin*3/2, mostBegin)
 	case !watching && err == nil:
-		r.begin = min(max(2*time.Since(begun), leastBegin), mostBegin)
+		r.begin = min(max(2*r.client.began.Sub(begun), leastBegin), mostBegin) // however long it took from there on
 	}
 	if err != nil {
 		return err
