--- a/lab/scale/point.go
+++ b/lab/scale/point.go
@@ -25,6 +25,7 @@
 	{"cpu_start", "s", "processor time until then"},
 	{"start_control", "B", "bytes from discovery until then"},
 	{"intake", "1/s", "messages taken on a second, from 128 connections, as held ones pile up"},
+	{"held", "", "messages held at rest, by the sender's own count"},
 	{"resident", "B", "resident bytes at rest"},
 	{"resident_peak", "B", "most resident bytes so far"},
 	{"heap", "B", "bytes in objects, garbage included; hollow: of one, after a collection"},
@@ -166,7 +167,7 @@
 	}
 	st.sleep(settle)
 	st.window(sh, disc, "rest", window)
-	st.each(sh, func(s *sender, row *Row) error { return memory(st.ctx, s, row) })
+	st.each(sh, func(s *sender, row *Row) error { return memory(st, s, row) })
 	if axis != "owed" {
 		r.busy(st, sh, disc, window)
 	}
@@ -318,12 +319,17 @@
 	return gateCounts{c.calls + o.calls, c.wholes + o.wholes, c.notices + o.notices, c.in + o.in, c.out + o.out}
 }
 
-// memory reads what a process holds.
-func memory(ctx context.Context, s *sender, row *Row) error {
-	line, err := s.counters(ctx, 5*time.Second)
+// memory reads what a process holds. What was to be held must be.
+func memory(st *stage, s *sender, row *Row) error {
+	line, err := s.counters(st.ctx, 5*time.Second)
 	if err != nil {
 		return err
 	}
+	held, _ := counter(line, "exchange.held")
+	if n := st.shape.held + st.shape.owed; int(held) < n {
+		return fmt.Errorf("%.0f of %d messages are held: %s", held, n, line)
+	}
+	row.Figures["held"] = held
 	if x, ok := counter(line, "process.heap"); ok {
 		row.Figures["heap"] = x
 	}
