--- a/cmd/eiderlab/scale.go
+++ b/cmd/eiderlab/scale.go
@@ -21,6 +21,7 @@
 func newScale() *cobra.Command {
 	var o scale.Options
 	var out string
+	var redraw bool
 	c := &cobra.Command{
 		Use:   "scale PLAN",
 		Short: "Measure real daemons at size on loopback addresses, and predict the largest point",
@@ -33,16 +34,17 @@
   eiderlab scale lab/plans/scale-large.toml --axis events --out results/scale`,
 		Args: exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			return runScale(c.Context(), args[0], out, o)
+			return runScale(c.Context(), args[0], out, o, redraw)
 		},
 	}
 	c.Flags().StringVar(&out, "out", "", "folder for rows, charts and page (default: results/NAME of the plan)")
 	c.Flags().StringSliceVar(&o.Axes, "axis", nil, "play these axes alone, or \"events\"; rows of others that the folder holds stay")
+	c.Flags().BoolVar(&redraw, "redraw", false, "play nothing: make tables, charts and page of the folder's rows anew")
 	c.Flags().StringVar(&o.Program, "program", "bin/eiderhaven", "the daemon")
 	return c
 }
 
-func runScale(ctx context.Context, path, out string, o scale.Options) error {
+func runScale(ctx context.Context, path, out string, o scale.Options, redraw bool) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
@@ -69,6 +71,9 @@
 		return err
 	}
 	folder.About = about(o.Program, machine)
+	if redraw {
+		return folder.Save()
+	}
 	o.Log = func(line string) { fmt.Println(line) }
 	rows, err := scale.Run(ctx, p, o, machine)
 	if errors.Is(err, context.Canceled) && len(rows) == 0 {
--- a/lab/scale/fit.go
+++ b/lab/scale/fit.go
@@ -14,8 +14,8 @@
 // Shape is what a figure does over an axis.
 type Shape string
 
-// The shapes. A figure is flat if the line's whole rise over the fitted points is no more than twice the largest residual; it is
-// no line if the largest residual is more than offLine of the largest fitted value.
+// The shapes. A figure is no line if the largest residual is more than offLine of the largest fitted value; flat if the line's whole
+// rise over the fitted points is no more than twice the largest residual; and no line either if it leaves much of the variance.
 const (
 	Line   Shape = "line"
 	Flat   Shape = "flat"
@@ -23,7 +23,11 @@
 	Few    Shape = "too few points"
 )
 
-const offLine = 0.15
+const (
+	offLine  = 0.15
+	leastR2  = 0.8
+	noChange = 0.02 // of the largest value: a smaller rise is none
+)
 
 // Fit is one figure over one axis.
 type Fit struct {
@@ -39,8 +43,13 @@
 	Low, High         float64 // least and most there
 }
 
-// Off is how far the prediction was off, as a share of what was measured.
-func (f Fit) Off() float64 { return (f.Predicted - f.Measured) / f.Measured }
+// Off is how far the prediction was off, as a share of what was measured; NaN for a prediction of nothing, which has no share.
+func (f Fit) Off() float64 {
+	if f.Predicted == 0 {
+		return math.NaN()
+	}
+	return (f.Predicted - f.Measured) / f.Measured
+}
 
 // fitted are the figures that are fitted, by axis and row; all real senders are samples of one fit.
 var fitted = map[string][]struct{ who, figure string }{
@@ -106,8 +115,11 @@
 	case f.Residual > offLine:
 		f.Shape = NoLine
 		return f
-	case rise <= 2*most || rise < 0.02*size:
+	case rise <= 2*most || rise < noChange*size:
 		f.Shape, f.Base, f.Slope = Flat, stat.Mean(ys, nil), 0
+	case f.R2 < leastR2:
+		f.Shape = NoLine
+		return f
 	default:
 		f.Shape = Line
 	}
--- a/lab/scale/folder.go
+++ b/lab/scale/folder.go
@@ -335,8 +335,9 @@
 func (f *Folder) Summary() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "# Scale run: %s\n\n%s\n\nHow it is played, what the columns mean and what it cannot show: [docs/lab.md](%sdocs/lab.md#the-scale-run). A fit is a line by least squares through all points\n"+
-		"but the largest, which it then predicts. `residual` is the largest one over the largest fitted value; over %.0f %% it is no line and not extended. Flat: the rise\n"+
-		"over the fitted points is no more than twice the largest residual, or under 2 %%; then the mean is extended.\n", f.Plan.Name, f.About, f.up(), 100*offLine)
+		"but the largest, which it then predicts. `residual` is the largest one over the largest fitted value; over %.0f %%, or with R² under %.1f, it is no line and not extended.\n"+
+		"Flat: the rise over the fitted points is no more than twice the largest residual, or under %.0f %%; then the mean is extended.\n",
+		f.Plan.Name, f.About, f.up(), 100*offLine, leastR2, 100*noChange)
 	for _, t := range f.Tables() {
 		fmt.Fprintf(&b, "\n## %s\n\n%s", t.Title, t.Markdown())
 	}
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -342,6 +342,12 @@
 	if f := at(func(x float64) float64 { return math.Exp(x) }); f.Shape != NoLine || !math.IsNaN(f.Predicted) {
 		t.Errorf("what is no line is extended: %+v", f)
 	}
+	if f := at(func(x float64) float64 { return 100 + 0.9*x + map[float64]float64{2: 2, 4: -3, 8: 1}[x] }); f.Shape != NoLine || f.Residual > offLine {
+		t.Errorf("a trend in noise: %+v", f)
+	}
+	if f := at(func(float64) float64 { return 0 }); f.Shape != Flat || f.Predicted != 0 || !math.IsNaN(f.Off()) {
+		t.Errorf("nothing at all: %+v", f)
+	}
 	if f := at(func(x float64) float64 { return 100 + 5*math.Mod(x, 3) }); f.Shape != Flat || f.Slope != 0 || f.Predicted < 100 || f.Predicted > 110 {
 		t.Errorf("noise: %+v", f)
 	}
