--- a/lab/scale/folder.go
+++ b/lab/scale/folder.go
@@ -274,7 +274,7 @@
 	lines          []struct{ who, figure string }
 }{
 	{"destinations", "memory", "bytes", false, of("real", "resident", "real", "heap_live", "hollow", "heap")},
-	{"destinations", "time to ready and to the list", "s", false, of("real", "ready", "real", "list", "real", "restart_ready", "real", "restart_list")},
+	{"destinations", "time from a start to the list", "s", false, of("real", "list", "real", "restart_list", "hollow", "list")},
 	{"destinations", "control bytes at a start, a restart and a failure", "bytes", false, of("real", "start_control", "real", "restart_control", "real", "failure_control")},
 	{"held", "memory", "bytes", false, of("real", "resident", "real", "heap_live")},
 	{"held", "processor", "cores", false, of("real", "cpu_rest", "real", "cpu_busy")},
