--- a/cmd/eiderhaven/list_bench_test.go
+++ b/cmd/eiderhaven/list_bench_test.go
@@ -14,7 +14,7 @@
 )
 
 // longPlace is a place before a discovery of so many endpoints, each of a destination of its own, all at one address.
-func longPlace(b *testing.B, n int) *place {
+func longPlace(b testing.TB, n int) *place {
 	b.Helper()
 	ep, err := platform.NewEndpoint("127.0.0.1:0", nil)
 	if err != nil {
--- a/cmd/eiderhaven/list_test.go
+++ b/cmd/eiderhaven/list_test.go
@@ -374,3 +374,61 @@
 		}
 	}
 }
+
+// What a failed watch and a restart cost in bytes from and to discovery does not follow the length of the list; a first start does.
+func TestWhatAFailureAndARestartCost(t *testing.T) {
+	const n = 20_000
+	p := longPlace(t, n)
+	var proc *process
+	// passed is how much passes from an act on, until the next watch has begun, and what was asked meanwhile.
+	passed := func(act func()) (int64, []string) {
+		before, asked := p.disc.Bytes(), len(p.disc.Asked())
+		act()
+		testkit.Eventually(t, "a watch behind a call that does not wait", func() bool {
+			all := p.disc.Asked()[asked:]
+			return len(all) > 1 && strings.Contains(all[len(all)-1], "wait_ms=1500") && !strings.Contains(all[len(all)-2], "wait_ms=1500")
+		})
+		return p.disc.Bytes() - before, p.disc.Asked()[asked:]
+	}
+	first, _ := passed(func() { proc = p.launch() })
+	if size := int64(len(p.disc.List())); first < size || first > size+1000 {
+		t.Errorf("%d bytes at a first start, the list has %d", first, size)
+	}
+	p.kept()
+	more := func() {
+		n := len(p.disc.Asked())
+		testkit.Eventually(t, "one more watch", func() bool { return len(p.disc.Asked()) > n })
+	}
+	more()
+	idle := p.disc.Bytes()
+	more()
+	if idle = p.disc.Bytes() - idle; idle > 300 {
+		t.Errorf("%d bytes for a watch with nothing new", idle)
+	}
+	failed, asked := passed(p.disc.Lose)
+	if failed > 1000 {
+		t.Errorf("%d bytes for a failed watch: asked %q", failed, asked)
+	}
+	p.disc.Set(append([]platform.Entry{at("changed", p.ep, n, "Ready")}, entriesOf(t, p)...)...)
+	p.listed("changed")
+	later, asked := passed(p.disc.Lose)
+	if later > 1500 || later <= failed {
+		t.Errorf("%d bytes for a failed watch with a last change to be told again: asked %q", later, asked)
+	}
+	proc.kill()
+	again, asked := passed(func() { proc = p.launch() })
+	if again > 1500 {
+		t.Errorf("%d bytes at a restart: asked %q", again, asked)
+	}
+	t.Logf("%d endpoints: %d bytes at a first start, %d for a watch, %d for one that fails, %d with a last change, %d at a restart", n, first, idle, failed, later, again)
+}
+
+// entriesOf is discovery's list as it stands.
+func entriesOf(t *testing.T, p *place) []platform.Entry {
+	t.Helper()
+	var list struct{ Hosts []platform.Entry }
+	if err := json.Unmarshal(p.disc.List(), &list); err != nil {
+		t.Fatal(err)
+	}
+	return list.Hosts
+}
