The stand-in notes a call together with what it waits for, so that a test can lose just that one

TestWhatAFailureAndARestartCost failed in one of three plays: the watch that the test had seen begin was not among those that fell silent, as the stand-in noted it before it had looked up what it waits for.

--- a/cmd/eiderhaven/list_test.go
+++ b/cmd/eiderhaven/list_test.go
@@ -405,12 +405,13 @@
 	if idle = p.disc.Bytes() - idle; idle > 300 {
 		t.Errorf("%d bytes for a watch with nothing new", idle)
 	}
-	failed, asked := passed(p.disc.Lose)
+	failed, asked := passed(p.disc.Lose) // the watch that was just seen to begin
 	if failed > 1000 {
 		t.Errorf("%d bytes for a failed watch: asked %q", failed, asked)
 	}
 	p.disc.Set(append([]platform.Entry{at("changed", p.ep, n, "Ready")}, entriesOf(t, p)...)...)
 	p.listed("changed")
+	more()
 	later, asked := passed(p.disc.Lose)
 	if later > 1500 || later <= failed {
 		t.Errorf("%d bytes for a failed watch with a last change to be told again: asked %q", later, asked)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -234,11 +234,7 @@
 	case u.Path == "/status" && req.Method == "POST":
 		return d.notice(body)
 	case u.Path == "/registry/instances" && req.Method == "GET":
-		d.mu.Lock()
-		d.asked = append(d.asked, req.Target)
-		d.bytes += int64(len(http1.AppendRequest(nil, req.Method, req.Target, req.Header, nil)))
-		d.mu.Unlock()
-		body := d.watch(u.Query())
+		body := d.watch(req, u.Query())
 		if body == nil || d.silent() {
 			return nil
 		}
@@ -265,15 +261,17 @@
 }
 
 // watch answers at once if there is news, else when there is or the wait is over, or with nothing at the end of a silence.
-func (d *Discovery) watch(q url.Values) []byte {
+func (d *Discovery) watch(req *http1.Request, q url.Values) []byte {
 	after, err := strconv.Atoi(q.Get("after"))
-	if err != nil {
-		return d.List()
-	}
 	wait, _ := strconv.Atoi(q.Get("wait_ms")) // none is 0
 	d.mu.Lock()
+	d.asked = append(d.asked, req.Target) // with what it waits for, so that who sees the call can have it lost
+	d.bytes += int64(len(http1.AppendRequest(nil, req.Method, req.Target, req.Header, nil)))
 	changed, deaf, news := d.changed, d.deaf, d.seq != after
 	d.mu.Unlock()
+	if err != nil {
+		return d.List()
+	}
 	if !news {
 		select {
 		case <-changed:
