--- a/lab/scale/destinations.go
+++ b/lab/scale/destinations.go
@@ -20,7 +20,8 @@
 type destinations struct {
 	arrived func(id string, side int)
 	ports   [zones][2]*port
-	refused string // where nothing listens
+	refused string  // where nothing listens
+	rate    float64 // listed for each
 }
 
 // port is one listener.
@@ -31,8 +32,8 @@
 	open atomic.Bool
 }
 
-func newDestinations(ip, refusing string, arrived func(id string, side int)) (*destinations, error) {
-	d := &destinations{arrived: arrived, refused: refusing + ":9"}
+func newDestinations(ip, refusing string, rate float64, arrived func(id string, side int)) (*destinations, error) {
+	d := &destinations{arrived: arrived, refused: refusing + ":9", rate: rate}
 	for z := range zones {
 		for side := range 2 {
 			d.ports[z][side] = &port{addr: fmt.Sprintf("%s:%d", ip, 20000+2*z+side)}
@@ -103,7 +104,7 @@
 // entry is a destination's endpoint as it is listed at first, or as a change has made it.
 func (d *destinations) entry(dest, side int, host string, down bool) platform.Entry {
 	z := dest % zones
-	e := platform.Entry{Host: host, Dial: d.ports[z][side].addr, Site: zoneName(z), Class: "any", Block: dest, Health: "Ready", Share: 1}
+	e := platform.Entry{Host: host, Dial: d.ports[z][side].addr, Site: zoneName(z), Class: "any", Block: dest, Health: "Ready", Share: d.rate}
 	if down {
 		e.Dial = d.refused
 	}
--- a/lab/scale/plan.go
+++ b/lab/scale/plan.go
@@ -39,6 +39,7 @@
 		Changes      int     `toml:"changes"`         // a minute
 		Messages     float64 `toml:"messages"`        // a second, to each real sender
 		HollowMakes  float64 `toml:"hollow_messages"` // a second, in each hollow sender
+		Listed       float64 `toml:"listed_rate"`     // calls a second that discovery lists for each destination
 	} `toml:"base"`
 
 	Axes struct {
@@ -78,7 +79,7 @@
 	p := &Plan{Name: "scale", Seed: 1, Settle: scenario.Duration(time.Second), Window: scenario.Duration(3 * time.Second),
 		Within: scenario.Duration(10 * time.Second)}
 	p.Senders.Real, p.Senders.Slots, p.Senders.MemoryMB, p.Senders.DiskMB = 2, 64, 2048, 256
-	p.Base.Destinations, p.Base.Hollow, p.Base.Changes, p.Base.Messages, p.Base.HollowMakes = 1000, 8, 60, 50, 1
+	p.Base.Destinations, p.Base.Hollow, p.Base.Changes, p.Base.Messages, p.Base.HollowMakes, p.Base.Listed = 1000, 8, 60, 50, 1, 1
 	p.Events.Real, p.Events.Hollow, p.Events.Destinations, p.Events.DownShare, p.Events.Changes = 4, 30, 1000, 0.015, 60
 	p.Events.Deadline, p.Events.Before = scenario.Duration(5*time.Second), scenario.Duration(3*time.Second)
 	p.Events.Away, p.Events.Cut, p.Events.Zone = scenario.Duration(30*time.Second), scenario.Duration(time.Minute), scenario.Duration(10*time.Second)
@@ -166,6 +167,7 @@
 		num("senders.memory_mb", float64(p.Senders.MemoryMB), 64, million), num("senders.disk_mb", float64(p.Senders.DiskMB), 1, float64(p.Senders.MemoryMB)/2),
 		num("base.destinations", float64(b.Destinations), 10, million), num("base.hollow", float64(b.Hollow), 0, million),
 		num("base.changes", float64(b.Changes), 0, 6000), num("base.messages", b.Messages, 0, 5000), num("base.hollow_messages", b.HollowMakes, 0, 1000),
+		num("base.listed_rate", b.Listed, 0, million),
 		num("events.real", float64(e.Real), 2, million), num("events.hollow", float64(e.Hollow), 0, million), num("events.destinations", float64(e.Destinations), 10, million),
 		num("events.down_share", e.DownShare, 0, 0.5), num("events.changes", float64(e.Changes), 1, 6000),
 		span("events.deadline", e.Deadline, 500*time.Millisecond, 16*time.Second), span("events.before", e.Before, 500*time.Millisecond, time.Minute),
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -287,6 +287,7 @@
 		{"[axes]\ndestinations = [1, 20, 30, 40]\n", "axes.destinations: 1, expected 10 at least"},
 		{"[axes]\ndown = [1, 20, 30, 600]\n", "axes.down: 600, expected half of base.destinations (1000) at most"},
 		{"[events]\nplay = ['flood']\n", `events.play: "flood", expected one of restart_half`},
+		{"[base]\nlisted_rate = -1.0\n" + axis, "base.listed_rate: -1, expected 0 to 1000000"},
 		{"window = '5ms'\n" + axis, "window: 5ms, expected 100ms to 1m0s"},
 		{"window = 5\n" + axis, "window"},
 		{"[events]\nplay = ['cut_off']\ndeadline = '1h'\n", "events.deadline: 1h0m0s, expected 500ms to 16s"},
@@ -316,7 +317,7 @@
 			t.Errorf("%+v: %v, want %q", o, err, want)
 		}
 	}
-	for _, name := range []string{"scale-small.toml", "scale-large.toml"} {
+	for _, name := range []string{"scale-small.toml", "scale-large.toml", "scale-held.toml"} {
 		p, err := Load("../plans/" + name)
 		if err == nil {
 			err = p.Fits(Machine{Memory: 20 << 30, Descriptors: 20_000, Cores: 8}, p.played())
--- a/lab/scale/stage.go
+++ b/lab/scale/stage.go
@@ -87,7 +87,7 @@
 	if st.set, st.names, err = settings.DecodeChecked(text, r.plan.Seed); err != nil {
 		return st, err
 	}
-	if st.dests, err = newDestinations(r.site.destinations, r.site.none, st.book.arrived); err != nil {
+	if st.dests, err = newDestinations(r.site.destinations, r.site.none, r.plan.Base.Listed, st.book.arrived); err != nil {
 		return st, err
 	}
 	st.disc = newDiscovery(st.entries(), st.book.noticed)
