--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -103,6 +103,11 @@
 			}
 		}
 	}
+	for _, r := range rows {
+		if f := r.Figures; r.Who == "r0" && (f["resident"] <= 0 || f["heap"] <= 0 || f["resident"] < f["heap_live"]) {
+			t.Errorf("%s %d: a real sender without its memory: %v", r.Axis, r.Value, f)
+		}
+	}
 	events := one(rows, EventsAxis, 0)
 	for _, name := range eventNames {
 		r, ok := events[name]
