The stand-in of discovery makes a large change ready before it tells of it

Cause: the stand-in wrote the 50,000 entries anew for each call, under -race longer than the 1 to 3 s in which an answer has to begin, so that every call was given up and asked again (9 failed calls in 24 s). The sender did as it should. Now Set makes the answer ready and only then tells; the whole list of the test is made before it is asked for.

--- a/cmd/eiderhaven/list_test.go
+++ b/cmd/eiderhaven/list_test.go
@@ -285,6 +285,7 @@
 	}
 	t.Cleanup(disc.Close)
 	disc.Remember(10)
+	disc.List() // made before it is asked for
 	p := placeAt(t, disc)
 	p.configure(func(c map[string]any) {
 		c["known"] = json.RawMessage(`{"seq":0,"whole":true,"hosts":[]}`)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -42,6 +42,7 @@
 	memory  int      // versions whose changes are told as such
 	history []change // of those, oldest first
 	text    []byte   // of the whole list as it stands, once it was asked for
+	news    []byte   // of the last change, for who has the version before it; nil if it is not told as such
 	deaf    chan struct{}
 	asked   []string
 	bytes   int64
@@ -68,7 +69,7 @@
 func (d *Discovery) Count(seq int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.seq, d.history, d.text = seq, nil, nil
+	d.seq, d.history, d.text, d.news = seq, nil, nil, nil
 }
 
 // Lose makes the calls that wait now fall silent: their connections stay open, and nothing comes on them any more.
@@ -97,7 +98,7 @@
 func (d *Discovery) Indent(by string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.indent, d.text = by, nil
+	d.indent, d.text, d.news = by, nil, nil
 }
 
 // Mute makes discovery answer no question for the list, or lets it answer again; notices it takes all the time.
@@ -131,16 +132,26 @@
 	d.Server.Close()
 }
 
-// Set replaces the list.
+// Set replaces the list. Calls are answered by the old one until the change is ready to be told: a discovery that made it anew for each
+// call would keep those of a large change waiting. Only one Set may be under way.
 func (d *Discovery) Set(hosts ...Entry) {
+	d.mu.Lock()
+	before, remembers, seq := d.hosts, d.memory > 0, d.seq+1
+	d.mu.Unlock()
+	var differ []Entry
+	var news []byte
+	if remembers {
+		differ = differences(before, hosts)
+		news = d.list(seq, differ, false)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.seq++
-	if d.memory > 0 {
-		d.history = append(d.history, change{d.seq, differences(d.hosts, hosts)})
+	d.seq = seq
+	if remembers {
+		d.history = append(d.history, change{seq, differ})
 		d.forget()
 	}
-	d.hosts, d.text = hosts, nil
+	d.hosts, d.text, d.news = hosts, nil, news
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -182,15 +193,18 @@
 
 func (d *Discovery) all() []byte {
 	if d.text == nil {
-		d.text = d.list(d.hosts, true)
+		d.text = d.list(d.seq, d.hosts, true)
 	}
 	return d.text
 }
 
 // since is what has changed after a version, each entry once as it stands, or the whole list.
 func (d *Discovery) since(after int) []byte {
-	if after == d.seq {
-		return d.list(nil, false)
+	switch {
+	case after == d.seq:
+		return d.list(d.seq, nil, false)
+	case after == d.seq-1 && d.news != nil && len(d.history) > 0:
+		return d.news
 	}
 	if len(d.history) == 0 || after < d.history[0].seq-1 || after > d.seq {
 		return d.all()
@@ -211,14 +225,14 @@
 	for i, host := range order {
 		list[i] = last[host]
 	}
-	return d.list(list, false)
+	return d.list(d.seq, list, false)
 }
 
-func (d *Discovery) list(hosts []Entry, whole bool) []byte {
+func (d *Discovery) list(seq int, hosts []Entry, whole bool) []byte {
 	if hosts == nil {
 		hosts = []Entry{}
 	}
-	list := map[string]any{"seq": d.seq, "whole": whole, "hosts": hosts}
+	list := map[string]any{"seq": seq, "whole": whole, "hosts": hosts}
 	text, _ := json.Marshal(list) // plain values always encode
 	if d.indent != "" {
 		text, _ = json.MarshalIndent(list, "", d.indent)
