--- a/lab/receiver/receiver.go
+++ b/lab/receiver/receiver.go
@@ -35,6 +35,7 @@
 	FallWindow     time.Duration
 	OverloadFactor float64
 	FallChance     float64
+	StandingTerm   bool // chance is allowed for as the platform's standing test does, not by FallChance
 }
 
 // Observer is told what happens at receivers.
@@ -197,7 +198,7 @@
 	for _, a := range u.recent {
 		sum += a.weight
 	}
-	if n := u.budget(warmth); sum <= n+u.Spec.FallChance*math.Sqrt(n)+fallSlack {
+	if sum <= u.Spec.allowed(u.budget(warmth)) {
 		return
 	}
 	by := map[int]float64{}
@@ -232,6 +233,21 @@
 	return old, all
 }
 
+// smallBudget is the budget in calls below which the standing test allows more for chance.
+const smallBudget = 30
+
+// allowed is what a cold unit takes within the span without falling: its budget and what is put down to chance.
+func (s *Spec) allowed(budget float64) float64 {
+	root := math.Sqrt(budget)
+	switch {
+	case s.StandingTerm && budget < smallBudget:
+		return budget + 3*root + 3
+	case s.StandingTerm:
+		return budget + 2*root + 2
+	}
+	return budget + s.FallChance*root + fallSlack
+}
+
 // fallSlack is what a cold unit takes beyond its budget: two calls that happen to meet must not fell a small one.
 const fallSlack = 2
 
--- a/lab/scenario/check.go
+++ b/lab/scenario/check.go
@@ -149,6 +149,7 @@
 	c.span("rules.fall_window", r.FallWindow, second/100, hour)
 	c.within("rules.overload_factor", r.OverloadFactor, 1, 1000)
 	c.within("rules.fall_chance", r.FallChance, 0, 10)
+	c.oneOf("rules.fall_term", r.FallTerm, "roots", "standing")
 	c.span("rules.order_pause", r.OrderPause, 0, hour)
 	c.span("rules.restart_grace", r.RestartGrace, 0, hour)
 	g := s.Goal
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -130,6 +130,7 @@
 	FallWindow     Duration `toml:"fall_window" doc:"span over which a cold destination counts what it is sent" default:"2s"`
 	OverloadFactor float64  `toml:"overload_factor" doc:"sent more than this multiple of its present capacity over the span, it falls over (at least 1)" default:"2"`
 	FallChance     float64  `toml:"fall_chance" doc:"so many roots of the calls that this allows are put down to chance, beside two calls" default:"0"`
+	FallTerm       string   `toml:"fall_term" doc:"what is put down to chance: roots (fall_chance of them and two calls) or standing (two roots and two calls; of a budget under 30 calls three and three)" default:"roots"`
 	OrderPause     Duration `toml:"order_pause" doc:"rest of an order key after an attempt that may still run" default:"500ms"`
 	RestartGrace   Duration `toml:"restart_grace" doc:"after a restart with state, an end that fell due meanwhile may come this much later" default:"1500ms"`
 }
--- a/lab/world/site.go
+++ b/lab/world/site.go
@@ -125,7 +125,7 @@
 	r := w.s.Rules
 	spec := &receiver.Spec{Servers: kind.Servers, Queue: kind.Queue, Service: kind.Service.Random(), Pace: 1,
 		BatchCost: kind.BatchCost, Batch: kind.Batch, Drops: kind.Drops, Reports: kind.Reports, Tells: kind.Limit.Tells,
-		ColdShare: r.ColdShare, WarmUp: r.WarmUp.D(), FallWindow: r.FallWindow.D(), OverloadFactor: r.OverloadFactor, FallChance: r.FallChance}
+		ColdShare: r.ColdShare, WarmUp: r.WarmUp.D(), FallWindow: r.FallWindow.D(), OverloadFactor: r.OverloadFactor, FallChance: r.FallChance, StandingTerm: r.FallTerm == "standing"}
 	for _, c := range w.s.Classes {
 		window := time.Duration(0)
 		if c.Effect == "keyed" {
--- /dev/null
+++ b/lab/world/slowstart_test.go
@@ -0,0 +1,77 @@
+package world
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhaven/lab/scenario"
+	"eiderhaven/lab/tally"
+)
+
+// returnPlay is one outage of some destinations and their cold return, before a fleet of senders.
+type returnPlay struct {
+	senders      int
+	destinations int
+	load         float64 // traffic over all of the destinations' capacity
+	kind         string  // of the outage
+	at, length   time.Duration
+	part         float64 // of the destinations that are struck
+	rates        string  // what the list tells of them
+	restart      time.Duration
+	seed         uint64
+}
+
+func (p returnPlay) String() string {
+	return fmt.Sprintf("%d senders, %d destinations, load %.2g, %s at %v for %v, rates %s, restart %v, seed %d",
+		p.senders, p.destinations, p.load, p.kind, p.at, p.length, p.rates, p.restart, p.seed)
+}
+
+// run plays it. A destination serves 20 calls a second where there is one, 5 where there are many.
+func (p returnPlay) run(t *testing.T) *tally.Result {
+	t.Helper()
+	service, rate := "50ms", 20.0
+	if p.destinations > 1 {
+		service, rate = "200ms", 5
+	}
+	s := load(t, "../scenarios/hundreds.toml", "senders.count", fmt.Sprint(p.senders), "kind.partner.destinations", fmt.Sprint(p.destinations),
+		"kind.partner.servers", "1", "kind.partner.service", `{ dist = "exponential", mean = "`+service+`" }`,
+		"traffic.rate", fmt.Sprint(p.load*rate*float64(p.destinations)), "rules.cold_share", "0.2", "rules.warm_up", "10s",
+		"rules.fall_term", "standing", "senders.rates_listed", p.rates, "run.length", (p.at + p.length + 15*time.Second).String())
+	s.Troubles = []scenario.Trouble{{Kind: p.kind, At: scenario.Duration(p.at), For: scenario.Duration(p.length), Part: p.part, Size: 1, By: "destination"}}
+	if p.restart > 0 {
+		again := restarts
+		again.At = scenario.Duration(p.restart)
+		s.Troubles = append(s.Troubles, again)
+	}
+	r, err := Run(s, Options{Seed: p.seed, Workers: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// check fails the test for each broken rule.
+func (p returnPlay) check(t *testing.T) {
+	t.Helper()
+	for _, b := range p.run(t).Breaks {
+		t.Errorf("%v: %v\n\t%s", p, b, strings.Join(b.Trail, "\n\t"))
+	}
+}
+
+// TestSlowStartOfManyDestinations plays the incident's shape: young processes, a third of forty small destinations out from
+// second 4 on, and a hang of 9 s at second 33.
+func TestSlowStartOfManyDestinations(t *testing.T) {
+	for seed := uint64(900); seed < 912; seed++ {
+		for _, p := range []returnPlay{
+			{senders: 41, destinations: 40, load: 0.5, kind: "crash", at: 4 * time.Second, length: 7190 * time.Millisecond, part: 0.33, rates: "rough", seed: seed},
+			{senders: 41, destinations: 40, load: 0.5, kind: "hang", at: 33 * time.Second, length: 9 * time.Second, part: 0.33, rates: "rough", seed: seed},
+		} {
+			t.Run(p.String(), func(t *testing.T) {
+				t.Parallel()
+				p.check(t)
+			})
+		}
+	}
+}
