State changes, reasons of ends and traced ids are logged; the module is split by decision

Cause: the evidence's log has no line between ready and the kill, so it does not tell what a sender took a destination for.

--- a/cmd/eiderhaven/config.go
+++ b/cmd/eiderhaven/config.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -30,6 +31,7 @@
 	names    *settings.Names
 	known    exchange.Listing
 	knownSeq int64
+	logLevel slog.Level
 	lacking  []string // what the settings allow or ask for and the platform has no way to do
 }
 
@@ -80,6 +82,11 @@
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if level := getenv("LB_LOG_LEVEL"); level != "" {
+		if err := c.logLevel.UnmarshalText([]byte(level)); err != nil {
+			return nil, fmt.Errorf("LB_LOG_LEVEL: %w; debug, info, warn or error is expected", err)
+		}
+	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("%s: bad seed", path)
--- a/cmd/eiderhaven/main.go
+++ b/cmd/eiderhaven/main.go
@@ -33,7 +33,7 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.cores))))
 	debug.SetMemoryLimit(cfg.heap())
 	debug.SetGCPercent(300) // little is live: fewer collections for a part of a core, and the limit above still holds
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", cfg.name)
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: cfg.logLevel})).With("name", cfg.name)
 	s, err := newService(cfg, log)
 	if err != nil {
 		return err
--- a/internal/exchange/counts.go
+++ b/internal/exchange/counts.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"maps"
 
 	"eiderhaven/rules"
 )
@@ -18,6 +19,8 @@
 	Calls, Recalled, Attempts                                 int
 	Outcomes                                                  [rules.NotSent + 1]int
 	Noticed, Unrecorded                                       int
+	Ended                                                     map[rules.EndReason]int // undelivered, by reason
+	Deferred, Transitions                                     int                     // by slow start, probation or a pause; changes of endpoints' states
 }
 
 var outcomeNames = [rules.NotSent + 1]string{
@@ -41,6 +44,7 @@
 
 func (x *Exchange) snapshot() Counts {
 	c := x.counts
+	c.Ended = maps.Clone(x.counts.Ended)
 	c.Held = len(x.held)
 	for _, f := range x.flights {
 		c.Out += len(f.items)
@@ -60,5 +64,9 @@
 	for i, name := range outcomeNames {
 		list = append(list, slog.Int(name, c.Outcomes[i]))
 	}
+	for _, why := range rules.EndReasons {
+		list = append(list, slog.Int("ended_"+string(why), c.Ended[why]))
+	}
+	list = append(list, slog.Int("deferred", c.Deferred), slog.Int("transitions", c.Transitions))
 	return slog.GroupValue(append(list, slog.Int("noticed", c.Noticed), slog.Int("unrecorded", c.Unrecorded))...)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -148,7 +148,7 @@
 func New(cfg Config) *Exchange {
 	x := &Exchange{cfg: cfg, in: make(chan func(), 1024), halt: make(chan struct{}), done: make(chan struct{}),
 		started: time.Now(), classes: map[string]int{}, tenants: map[string]int{}, sender: rules.New(*cfg.Settings), held: map[string]*held{},
-		dir: newDirectory(), past: newPast(cfg.Settings.Classes), wakeAt: -1, since: -1}
+		dir: newDirectory(), counts: Counts{Ended: map[rules.EndReason]int{}}, past: newPast(cfg.Settings.Classes), wakeAt: -1, since: -1}
 	for i, name := range cfg.Classes {
 		x.classes[name] = i
 	}
--- /dev/null
+++ b/internal/exchange/observe.go
@@ -0,0 +1,32 @@
+// This file owns what the log and the counters say of the module's decisions. It must never change one, and a message has a
+// line of its own only where the log is at debug level.
+
+package exchange
+
+import (
+	"context"
+	"log/slog"
+)
+
+// observe logs the endpoints whose state has changed, and books why messages ended undelivered.
+func (x *Exchange) observe() {
+	o := x.sender.Observe()
+	x.counts.Deferred += o.Deferred
+	x.counts.Transitions += len(o.Transitions)
+	for _, t := range o.Transitions {
+		host := x.dir.host(t.Endpoint)
+		x.cfg.Log.Info("endpoint state", "endpoint", host.Name, "dest", host.Dest, "from", t.From, "to", t.To, "cause", t.Cause,
+			"failures", t.Failures, "failing_for", t.At-t.Failing, "next_call_in", t.Gap)
+	}
+	for _, e := range o.Ends {
+		x.counts.Ended[e.Reason]++
+		x.trace("ended", func() []any { return []any{"id", e.ID, "reason", e.Reason} })
+	}
+}
+
+// trace logs a line about a message at debug level; fields are made only where it is wanted.
+func (x *Exchange) trace(what string, fields func() []any) {
+	if x.cfg.Log.Enabled(context.Background(), slog.LevelDebug) {
+		x.cfg.Log.Debug(what, fields()...)
+	}
+}
--- /dev/null
+++ b/internal/exchange/observe_test.go
@@ -0,0 +1,42 @@
+package exchange
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"eiderhaven/rules"
+)
+
+// TestAMessageIsFollowedByItsID plays a message that fails until its endpoint is on probation, and reads what the log says.
+func TestAMessageIsFollowedByItsID(t *testing.T) {
+	w := newWorld(t, t.TempDir(), func(s *rules.Settings) { s.MaxAttempts = 4 })
+	var text bytes.Buffer
+	w.cfg.Log = slog.New(slog.NewTextHandler(&text, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	w.Recover()
+	w.Exchange.take(msg("m1", "stock", 1), make(chan Answer, 1))
+	for deadline := time.Now().Add(10 * time.Second); w.counts.Ended[rules.EndAttempts] == 0; {
+		if time.Now().After(deadline) {
+			t.Fatalf("not ended; counters %+v\n%s", w.counts, &text)
+		}
+		w.later(500 * time.Millisecond)
+		w.step()
+		select {
+		case c := <-w.ends.started:
+			w.finished(c.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.Errored}}})
+		default:
+		}
+	}
+	for _, want := range []string{"msg=taken id=m1", "msg=call ids=[m1] attempts=[0] endpoint=s-1 dest=1", "msg=outcome id=m1 attempt=3",
+		"outcome=errored", `msg="endpoint state" endpoint=s-1 dest=1 from=healthy to=probation cause=failures failures=4`,
+		"msg=ended id=m1 reason=attempts"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no %q in\n%s", want, &text)
+		}
+	}
+	if line := w.snapshot().LogValue().String(); !strings.Contains(line, "ended_attempts=1") || w.counts.Transitions != 1 {
+		t.Errorf("counters %s", line)
+	}
+}
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -63,6 +63,9 @@
 		reply <- Answer{Verdict: Refused, RetryAfter: x.retryAfter(x.cfg.Settings.MaxRetryAfter)}
 		return
 	}
+	x.trace("taken", func() []any {
+		return []any{"id", m.ID, "class", m.Class, "dest", m.Dest, "left", time.Until(m.Deadline)}
+	})
 	h := &held{msg: m, reply: reply}
 	x.held[m.ID] = h
 	x.fresh = append(x.fresh, h)
@@ -94,6 +97,7 @@
 	}
 	actions := x.sender.Step(now, events)
 	x.lastStep = now
+	x.observe()
 	var sends []rules.Send
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -275,6 +279,7 @@
 	}
 	x.counts.Calls++
 	x.flights = append(x.flights, f)
+	x.trace("call", func() []any { return []any{"ids", ids, "attempts", nums, "endpoint", host.Name, "dest", host.Dest} })
 	f.handle = x.cfg.Caller.Start(f.call)
 }
 
@@ -366,6 +371,10 @@
 	default:
 		x.record(x.cfg.Ledger.Outcome(it.msg.ID, it.num, r.Outcome.MayRun(), failed(r)))
 	}
+	x.trace("outcome", func() []any {
+		return []any{"id", it.msg.ID, "attempt", it.num, "endpoint", x.dir.host(f.ep).Name, "outcome", outcomeNames[r.Outcome],
+			"elapsed", x.now() - f.sent, "wait", r.Wait, "over", over}
+	})
 	x.events = append(x.events, rules.Ended{ID: rules.MessageID(it.msg.ID), Attempt: it.num, Endpoint: f.ep,
 		Outcome: r.Outcome, Elapsed: x.now() - f.sent, Over: over, Wait: r.Wait, NoSlot: r.NoSlot, NoPlace: r.NoPlace, Recalled: r.Recalled, Report: r.Report})
 }
--- /dev/null
+++ b/rules/health.go
@@ -0,0 +1,242 @@
+package rules
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+// This file owns what a sender takes an endpoint for: what outcomes and silence say of it, and how long
+// it waits for an answer.
+
+const (
+	failStreak    = 4                       // failures in a row: an outage; 2 mistakes half the calls for one
+	silenceFactor = 3                       // late-answer times of silence: an outage; 2 suspects slow ones
+	briefTrouble  = 3 * time.Second         // trouble shorter than this leaves nothing cold
+	latGain       = 0.125                   // weight of a new latency sample; 1/4 is jumpy, 1/16 slow to follow
+	firstLate     = 2 * time.Second         // late-answer time before any sample
+	mostSlow      = 2                       // times that late grows where all calls are slow; 6 is even
+	minLate       = 500 * time.Millisecond  // least late-answer time: service times have long tails
+	maxLate       = 8 * time.Second         // most: a slow endpoint must still be found silent in time
+	patience      = 5                       // time-out of a repeatable call, in late-answer times; 3 is wasteful
+	haste         = 2                       // the same with all slots taken; 5 lets lost answers fill them
+	minPatience   = 1500 * time.Millisecond // least such time-out: a connect and a service time
+	provenOpen    = 60                      // answers since a connect was turned away; then they stay open
+	startOpen     = 5                       // the same where none was turned away yet; 15 cost handshakes
+)
+
+// timeout is how long to wait on a call. Only what may be sent again is timed out; freeSlot frees slots.
+// A keyed one among it: its answer may be lost, and meanwhile it holds its key's turn and uses up its window.
+func (s *Sender) timeout(m *message, ep *endpoint) time.Duration {
+	if m.class.Effect == AtMostOnce {
+		return 0
+	}
+	late := s.lateAfter(ep, m.classNo).Seconds()
+	return max(seconds(late*patience*(1+float64(min(ep.fails, 4))/2)), minPatience)
+}
+
+// lateAfter is the time after which an answer of the endpoint to a call of the class is unusually late. Where
+// all calls take longer than they did, it is no endpoint's fault, and later is usual.
+func (s *Sender) lateAfter(ep *endpoint, class int) time.Duration {
+	t := &ep.service(class).timing
+	if !t.known {
+		t = &ep.timing
+	}
+	if !t.known && s.set.Senders > crowd { // it sees little: go by what it sees elsewhere
+		t = &s.usual[class]
+	}
+	if !t.known {
+		return firstLate
+	}
+	return min(max(seconds((t.latency+4*t.spread)*min(max(s.slowness, 1), mostSlow)), minLate), maxLate)
+}
+
+func (t *timing) sample(elapsed time.Duration) {
+	x := elapsed.Seconds()
+	if !t.known {
+		t.latency, t.spread, t.known = x, x/2, true
+		return
+	}
+	t.spread += latGain * (math.Abs(x-t.latency) - t.spread)
+	t.latency += latGain * (x - t.latency)
+}
+
+// judge takes what a call's outcome says of its endpoint and lane.
+func (s *Sender) judge(c *call, e Ended) {
+	ep := c.ep
+	s.idled = append(s.idled, ep)
+	if e.Report.Limit > 0 {
+		ep.lane.reported = e.Report.Limit
+	}
+	if e.Outcome == TimedOut || e.Outcome == Cancelled {
+		s.act(CloseIdle{Endpoint: ep.id})
+	}
+	switch o := e.Outcome; {
+	case o == OK:
+		s.succeeded(c, e.Elapsed)
+	case o == Full:
+		s.refused(ep, c.sent, e.Wait)
+	case e.NoPlace:
+		s.turnedAway(ep)
+	case o != Cancelled && o != NotSent:
+		s.failed(ep, c.sent, o)
+	}
+	if e.Outcome == Errored || e.Outcome == TimedOut {
+		s.shun(c)
+		s.tell(c)
+	}
+}
+
+// succeeded takes an answer. In probation only one to a call sent since it began starts the ramp: older ones
+// may have been served before the outage.
+func (s *Sender) succeeded(c *call, elapsed time.Duration) {
+	ep, sent, v := c.ep, c.sent, c.service()
+	s.proven[ep.kind]++
+	if !s.stood { // else the answer may have lain here
+		if v.known {
+			s.slowness += latGain * (elapsed.Seconds()/max(v.latency, 1e-3) - s.slowness)
+		}
+		ep.sample(elapsed)
+		v.sample(elapsed)
+		s.usual[c.class()].sample(elapsed)
+	}
+	v.ill, v.retryAt = 0, 0
+	ep.lastAnswer, ep.fails, ep.knocks, ep.knockAt = s.now, 0, 0, 0
+	ep.delivered.add(s.now, deliveredMemory, 1)
+	ep.lane.refusals, ep.lane.servedAt = 0, s.now
+	ep.lane.pace.lapse(s.lapsedAt)
+	ep.lane.pace.onSuccess(s.now)
+	cures := ep.unanswered() || ep.symptom == Full // silence and refusals ended soon leave nothing cold
+	switch {
+	case ep.health == probation && sent >= ep.since && sent-ep.failing < briefTrouble && cures:
+		s.setHealth(ep, healthy, s.now, CauseShortLoss)
+		s.cured.add(s.now, deliveredMemory, 1)
+	case ep.health == probation && sent >= ep.since:
+		ep.charged = s.now
+		s.setHealth(ep, ramping, s.now, CauseAnswered)
+	case ep.health == ramping && s.now-ep.since >= s.set.WarmUp:
+		s.setHealth(ep, healthy, s.now, CauseWarm)
+	}
+}
+
+// failed takes a failure. In a crowd a pause follows that grows with each more; several start probation.
+// Guards against any outage with a cold return, and a crowd each trying once more; a chance run costs a ramp.
+func (s *Sender) failed(ep *endpoint, sent time.Duration, why Outcome) {
+	if why == TimedOut && ep.lastAnswer > sent {
+		return // one call lost where others are answered
+	}
+	if why == ConnectError && s.now-sent < s.set.ConnectTimeout/2 {
+		s.proven[ep.kind] = startOpen - provenOpen
+	}
+	if ep.fails++; ep.fails == 1 && ep.health == healthy {
+		ep.failing = sent
+	}
+	if s.set.Senders > crowd && (why == Reset || why == ConnectError) && s.now-sent > minLate {
+		ep.fails = max(ep.fails, 2) // a hang or a silence may end for all at once: a brief pause spreads nothing
+	}
+	ep.dest.retryAt = s.now + s.pause(ep)
+	if ep.health != probation && ep.fails >= failStreak {
+		s.suspend(ep, why, CauseFailures)
+	}
+}
+
+// turnedAway takes the word that an endpoint holds all the connections it can, which is no failure: it serves
+// who has one, and calls free places. Guards against a crowd that knocks all the time; may be late for one.
+func (s *Sender) turnedAway(ep *endpoint) {
+	s.proven[ep.kind] = startOpen - provenOpen
+	ep.knocks = min(ep.knocks+1, failStreak)
+	ep.knockAt = s.now + seconds(ep.usually()*math.Exp2(float64(ep.knocks))*(0.5+s.rng.Float64()))
+}
+
+// usually is the time to an answer, in seconds, a guess before the first.
+func (t *timing) usually() float64 { return cmp.Or(t.latency, firstLate.Seconds()/4) }
+
+// suspend puts an endpoint on probation.
+func (s *Sender) suspend(ep *endpoint, why Outcome, cause Cause) {
+	if ep.health == healthy {
+		ep.base = ep.delivered.perSecond(ep.delivered.last, deliveredMemory)
+	}
+	ep.symptom, ep.charged = why, s.now
+	s.setHealth(ep, probation, s.now, cause)
+	if ep.unanswered() && s.set.Senders <= crowd { // a trial soon, on a fresh connection: the old may be dead
+		ep.charged -= s.gap(ep)
+		s.act(CloseIdle{Endpoint: ep.id})
+	}
+}
+
+// unanswered tells whether an endpoint is on probation for silence, not for what it answered.
+func (ep *endpoint) unanswered() bool { return ep.symptom == TimedOut || ep.symptom == ConnectError }
+
+// opensAt takes the word that a destination is shut until then: it needs no trials, and is cold from then on.
+func (s *Sender) opensAt(ep *endpoint, at time.Duration) {
+	ep.lane.pace.onWait(at)
+	for _, o := range ep.dest.endpoints {
+		if o.lane == ep.lane {
+			if o.health == healthy {
+				s.suspend(o, Full, CauseToldShut)
+			}
+			s.setHealth(o, ramping, at, CauseToldShut)
+			o.charged = at - seconds(s.gap(o).Seconds()*s.rng.Float64())
+		}
+	}
+}
+
+// findSilence puts endpoints on probation that answer nothing of what they have. A hang never refuses.
+// Fresh connections come first, as one answer may be lost, and sooner where they have lately cured silence.
+func (s *Sender) findSilence() {
+	dying := s.dying()
+	s.lapsedAt, s.overdue = s.now, 0
+	for _, c := range s.calls {
+		out, late := s.now-c.sent, s.lateAfter(c.ep, c.class())
+		if out > late {
+			s.shun(c)
+			s.overdue++
+		}
+		if out > haste*late {
+			s.tell(c)
+		}
+	}
+	for _, ep := range s.calling() {
+		late, quiet := s.lateAfter(ep, ep.calls[0].class()), s.quiet(ep)
+		if ep.health == probation || quiet <= late || quiet <= silenceFactor*late && !dying {
+			continue
+		}
+		if ep.health == healthy {
+			ep.failing = max(ep.lastAnswer, ep.calls[0].sent)
+		}
+		if ep.renewed <= ep.lastAnswer {
+			ep.renewed = s.now
+			s.withdraw(ep)
+		} else if s.now-ep.renewed > late {
+			s.withdraw(ep)
+			s.suspend(ep, TimedOut, CauseSilence)
+		}
+	}
+}
+
+// dying tells whether fresh connections have lately cured silence, so that old ones are not to be trusted.
+func (s *Sender) dying() bool {
+	return s.cured.perSecond(s.now, deliveredMemory) > 1/deliveredMemory.Seconds()
+}
+
+// yieldConnections closes connections as they fall idle in a crowd, until connects are proven at a kind: idle
+// ones fill tables, and holders are never turned away. Costs handshakes. With calls out, one may be in use.
+func (s *Sender) yieldConnections() {
+	for _, ep := range s.idled {
+		if s.crowded(ep) && len(ep.calls) == 0 {
+			s.act(CloseIdle{Endpoint: ep.id})
+		}
+	}
+	s.idled = s.idled[:0]
+}
+
+// withdraw calls off what an endpoint left unanswered and may be sent again, to go out on a fresh connection.
+// Guards against connections that died unnoticed; where the endpoint is merely slow it wastes work begun.
+func (s *Sender) withdraw(ep *endpoint) {
+	for _, c := range ep.calls {
+		if effect := c.attempts[0].msg.class.Effect; effect == Safe || effect == Keyed && s.dying() {
+			s.cancel(c)
+		}
+	}
+	s.act(CloseIdle{Endpoint: ep.id})
+}
--- /dev/null
+++ b/rules/observe_test.go
@@ -0,0 +1,48 @@
+package rules
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestWhatASenderTells plays an endpoint that fails four times, serves again, and a message whose time ends meanwhile.
+func TestWhatASenderTells(t *testing.T) {
+	b := newBench(t, nil)
+	b.serve(3, safe, 11)
+	if o := b.s.Observe(); len(o.Transitions)+len(o.Ends)+o.Deferred > 0 {
+		t.Fatalf("told of a healthy endpoint: %+v", o)
+	}
+	ep := b.s.endpoint(11)
+	ep.failing = b.now - 5*sec
+	b.s.suspend(ep, Reset, CauseFailures)
+	ep.lane.pace.haltUntil = b.now + 20*sec // else the message is the probe
+	late, _ := b.take(once)
+	b.wait(30 * sec)
+	ep.base = 20
+	b.answered(11, safe, 0)
+	b.wait(11 * sec)
+	b.answered(11, safe, 0)
+	o := b.s.Observe()
+	type step struct {
+		From, To State
+		Cause    Cause
+	}
+	var got []step
+	for _, tr := range o.Transitions {
+		got = append(got, step{tr.From, tr.To, tr.Cause})
+	}
+	want := []step{{Healthy, Probation, CauseFailures}, {Probation, SlowStart, CauseAnswered}, {SlowStart, Healthy, CauseWarm}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("transitions:\n%s", diff)
+	}
+	if diff := cmp.Diff([]End{{late, EndShed}}, o.Ends); diff != "" {
+		t.Errorf("ends:\n%s", diff)
+	}
+	if o.Deferred == 0 {
+		t.Error("nothing was deferred while a message waited for a probe")
+	}
+	if o = b.s.Observe(); len(o.Transitions)+len(o.Ends)+o.Deferred > 0 {
+		t.Errorf("told twice: %+v", o)
+	}
+}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -850,7 +850,7 @@
 	b.serve(10, safe, 11)
 	ep := b.s.endpoint(11)
 	ep.failing = b.now
-	b.s.suspend(ep, Reset)
+	b.s.suspend(ep, Reset, CauseFailures)
 	b.wait(6 * sec)
 	b.answered(11, safe, 0)
 	if ep.health != ramping {
@@ -883,7 +883,7 @@
 func TestAnswersFromBeforeTheOutageDoNotStartTheRamp(t *testing.T) {
 	b := newBench(t, nil)
 	ep := b.s.endpoint(11)
-	b.s.suspend(ep, Reset)
+	b.s.suspend(ep, Reset, CauseFailures)
 	b.answered(11, safe, sec)
 	if ep.health != probation {
 		t.Error("an answer to an old call ended the probation")
@@ -1003,7 +1003,7 @@
 
 func TestTrialPrefersWhatMayBeRepeated(t *testing.T) {
 	b := newBench(t, nil)
-	b.s.suspend(b.s.endpoint(11), Errored)
+	b.s.suspend(b.s.endpoint(11), Errored, CauseFailures)
 	b.s.endpoint(11).charged = b.now
 	b.s.endpoint(11).failing = b.now - 10*sec
 	b.take(once)
@@ -1767,7 +1767,7 @@
 		b := newBench(t, func(s *Settings) { s.Senders = senders })
 		b.serve(1, safe, 11)
 		ep := b.s.endpoint(11)
-		b.s.suspend(ep, Full)
+		b.s.suspend(ep, Full, CauseFailures)
 		ep.failing, ep.charged = b.now-10*sec, b.now+20*sec // old trouble, as if the gap were that long
 		id, out := b.take(safe)
 		refused := pick[Refuse](append(out, b.wait(10*ms)...))
--- a/rules/state.go
+++ b/rules/state.go
@@ -198,6 +198,8 @@
 	endsAt    time.Duration // of the process
 	stood     bool          // the sender stood still: this step comes long after it was asked for
 	actions   []Action
+
+	observations Observations
 }
 
 // New returns a sender that knows nothing but its settings.
