--- a/cmd/eiderlab/main.go
+++ b/cmd/eiderlab/main.go
@@ -64,7 +64,7 @@
 	root.SetFlagErrorFunc(func(c *cobra.Command, err error) error {
 		return usageError{fmt.Errorf("%w; see '%s --help'", err, c.CommandPath())}
 	})
-	root.AddCommand(newRun(), newSweep(), newCompare(), newHunt(), newReplay(), newPlot(), newReceivers(), newLoad(), newScale(), newScenario(), newTroubles(), newPolicies())
+	root.AddCommand(newRun(), newSweep(), newCompare(), newHunt(), newReplay(), newPlot(), newReceivers(), newLoad(), newScale(), newRig(), newScenario(), newTroubles(), newPolicies())
 	return root
 }
 
--- /dev/null
+++ b/cmd/eiderlab/rig.go
@@ -0,0 +1,105 @@
+// This file owns the rig's command.
+
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"eiderhaven/lab/rig"
+	"eiderhaven/lab/scale"
+)
+
+// errBroken tells that a run broke a rule.
+var errBroken = errors.New("a rule was broken")
+
+func newRig() *cobra.Command {
+	var o rig.Options
+	var seeds, crowd int
+	var out string
+	c := &cobra.Command{
+		Use:   "rig PLAN",
+		Short: "Play faults and signals against a fleet of real daemons, and judge the six rules",
+		Long: `rig starts the plan's senders as processes on loopback addresses, each with a discovery and addresses of its own, before
+receivers that break as the lab's do; clients keep their connections until the kill. Signals go to the processes that it
+started and to no other. The judge goes by what clients and receivers saw. A run in which something breaks prints its
+seed and leaves its records in --out. It ends all it started, also at Ctrl-C, and exits with 1 if a rule was broken.`,
+		Example: `  eiderlab rig lab/plans/rig-slow-start.toml
+  eiderlab rig lab/plans/rig-soak.toml --seed 100 --seeds 50 --out results/soak`,
+		Args: exactly(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			p, s, err := rig.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if crowd > 0 {
+				p.Crowd = crowd
+			}
+			machine, err := scale.ThisMachine()
+			if err != nil {
+				return err
+			}
+			if err := p.Fits(s, machine); err != nil {
+				return err
+			}
+			if o.Keep = out; out == "" {
+				o.Keep = filepath.Join("results", "rig")
+			}
+			var broken []uint64
+			for range seeds {
+				r, err := rig.Run(c.Context(), p, s, o)
+				if err != nil {
+					return err
+				}
+				if err := showRig(r, o.Keep); err != nil {
+					return err
+				}
+				if len(r.Breaks) > 0 {
+					broken = append(broken, o.Seed)
+				}
+				o.Seed++
+			}
+			fmt.Printf("%d of %d seeds broke something: %v\n", len(broken), seeds, broken)
+			if len(broken) > 0 {
+				return errBroken
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&o.Program, "program", "bin/eiderhaven", "the daemon")
+	c.Flags().StringVar(&out, "out", "", "folder for the records of what broke (default: results/rig)")
+	c.Flags().Uint64Var(&o.Seed, "seed", 1, "first seed")
+	c.Flags().IntVar(&seeds, "seeds", 1, "so many seeds, one after another")
+	c.Flags().IntVar(&crowd, "crowd", 0, "connections held open to each sender and used for nothing (default: the plan's)")
+	return c
+}
+
+// showRig prints a line for a run, and one for each break; the line is also kept in runs.jsonl.
+func showRig(r *rig.Result, dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	f, err := os.OpenFile(filepath.Join(dir, "runs.jsonl"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	text, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(append(text, '\n')); err != nil {
+		return err
+	}
+	fmt.Printf("seed %d: %d handed in, %d taken, %d outages, %d fallen, %d breaks, signals %v, clients late by %.1f ms (p99)\n",
+		r.Seed, r.Handed, r.Taken, r.Outages, len(r.Falls), len(r.Breaks), r.Signals, r.LateLoad)
+	for _, b := range r.Breaks[:min(len(r.Breaks), 10)] {
+		fmt.Printf("  %s rule %s, sender %d, message %s: %s\n", b.At.Format("15:04:05.000"), b.Rule, b.Sender, b.ID, b.Text)
+	}
+	return nil
+}
--- a/lab/live/config.go
+++ b/lab/live/config.go
@@ -14,8 +14,13 @@
 var effectWords = map[string]string{"safe": "idempotent", "keyed": "deduplicated", "once": "at_most_once"}
 var scopeWords = map[string]string{"destination": "all", "zone": "zone", "endpoint": "cell"}
 
-// Config returns the text of a configuration for one sender.
+// Config returns the text of a configuration for one sender, with a seed of the moment.
 func Config(s *scenario.Scenario, name, listen, discovery string) ([]byte, error) {
+	return SeededConfig(s, name, listen, discovery, uint64(time.Now().UnixNano()))
+}
+
+// SeededConfig returns the text of a configuration for one sender.
+func SeededConfig(s *scenario.Scenario, name, listen, discovery string, seed uint64) ([]byte, error) {
 	x, r := s.Senders, s.Rules
 	us := func(d scenario.Duration) int64 { return d.D().Microseconds() }
 	var classes []map[string]any
@@ -39,7 +44,7 @@
 	}
 	weights := map[string]string{"none": "silent", "exact": "nominal", "rough": "rough"}[x.RatesListed]
 	return json.MarshalIndent(map[string]any{
-		"name": name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()),
+		"name": name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", seed),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 512, "sockets": 4096, "disk_mb": 64},
 		"known":  map[string]any{"seq": 0, "whole": true, "hosts": []any{}},
 		"settings": map[string]any{
--- a/lab/live/load.go
+++ b/lab/live/load.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"hash/fnv"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +35,20 @@
 	Conns   int           // connections to one target at most; 0: 256
 	Wait    time.Duration // for an answer; 0: 400 ms, as the platform's clients wait
 	Log     func(string)
+	Handed  func(Handed) // told of each request once it is over; may be called by several at once
+}
+
+// Handed is one request and what came of it.
+type Handed struct {
+	Sender   int
+	ID       string
+	Class    int
+	Deadline time.Time // of the message
+	Begun    time.Time
+	Over     time.Time
+	Status   int  // 0: no answer
+	TimedOut bool // the client stopped waiting
+	Written  bool // the whole request was written
 }
 
 // LoadWindow is a second of a load.
@@ -256,6 +271,7 @@
 	resp, begun, err := l.ask(t, id, m, planned)
 	took := time.Since(planned)
 	at := planned.Sub(l.loop.At(0))
+	l.tell(n, id, m, resp, begun, err)
 	l.mu.Lock()
 	w := l.window(at)
 	_ = l.late.RecordValue(micros(begun.Sub(planned)))
@@ -289,6 +305,32 @@
 	}
 }
 
+// tell passes a request on to who wants to know of it.
+func (l *Load) tell(n int, id string, m *model.Message, resp *http1.Response, begun time.Time, err error) {
+	if l.o.Handed == nil {
+		return
+	}
+	h := Handed{Sender: n % len(l.targets), ID: id, Class: m.Class, Deadline: l.loop.At(m.Deadline), Begun: begun, Over: time.Now()}
+	if err == nil {
+		h.Status = resp.Status
+	}
+	var failure *exchangeError
+	if errors.As(err, &failure) {
+		h.Written = failure.written
+	}
+	h.TimedOut = errors.Is(err, os.ErrDeadlineExceeded)
+	l.o.Handed(h)
+}
+
+// exchangeError is a request that got no answer.
+type exchangeError struct {
+	err     error
+	written bool // the whole request was written
+}
+
+func (e *exchangeError) Error() string { return e.err.Error() }
+func (e *exchangeError) Unwrap() error { return e.err }
+
 func micros(d time.Duration) int64 { return min(max(d.Microseconds(), 1), longestMicros) }
 
 func retryAfter(h http1.Header) time.Duration {
@@ -305,21 +347,41 @@
 	var nc net.Conn
 	select {
 	case nc = <-t.idle:
+		// A close of a resting connection may have crossed the request: it goes out once more on another, as the protocol has it.
+		if resp, begun, err = l.askOn(nc, t, id, m, deadline); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			return resp, begun, err
+		}
+	default:
+	}
+	return l.askFresh(t, id, m, deadline)
+}
+
+// askFresh makes a request on a new connection; where there is no room for one, on the first that falls idle.
+func (l *Load) askFresh(t *target, id string, m *model.Message, deadline time.Time) (*http1.Response, time.Time, error) {
+	select {
+	case t.room <- struct{}{}:
 	default:
 		select {
-		case nc = <-t.idle:
 		case t.room <- struct{}{}:
-			l.mu.Lock()
-			l.r.Opened++
-			l.mu.Unlock()
-			if nc, err = net.DialTimeout("tcp", t.addr, l.o.Wait); err != nil {
-				<-t.room
-				return nil, time.Now(), err
-			}
+		case nc := <-t.idle:
+			return l.askOn(nc, t, id, m, deadline)
 		case <-time.After(time.Until(deadline)):
 			return nil, time.Now(), errors.New("every connection is busy")
 		}
 	}
+	l.mu.Lock()
+	l.r.Opened++
+	l.mu.Unlock()
+	nc, err := net.DialTimeout("tcp", t.addr, max(time.Until(deadline), time.Millisecond))
+	if err != nil {
+		<-t.room
+		return nil, time.Now(), err
+	}
+	return l.askOn(nc, t, id, m, deadline)
+}
+
+// askOn makes a request on a connection and keeps that if it can.
+func (l *Load) askOn(nc net.Conn, t *target, id string, m *model.Message, deadline time.Time) (resp *http1.Response, begun time.Time, err error) {
 	begun = time.Now()
 	resp, err = l.exchange(nc, t, id, m, deadline)
 	if err != nil || resp.Close {
@@ -347,9 +409,13 @@
 		body[i] = 'a' + byte(i%26)
 	}
 	if _, err := nc.Write(http1.AppendRequest(nil, "POST", "/"+class.Name, fields, body)); err != nil {
-		return nil, err
+		return nil, &exchangeError{err: err}
+	}
+	resp, err := http1.ReadResponse(bufio.NewReader(nc), 64<<10)
+	if err != nil {
+		return nil, &exchangeError{err: err, written: true}
 	}
-	return http1.ReadResponse(bufio.NewReader(nc), 64<<10)
+	return resp, nil
 }
 
 // identity reads what load put into a message's name: which first try it belongs to, and its class.
--- a/lab/live/receivers.go
+++ b/lab/live/receivers.go
@@ -64,14 +64,35 @@
 	Fallen      int            `json:"units_fallen"`
 }
 
+// Watcher is told what receivers see, with the sender where each sender has doors of its own, else with 0. It is called on
+// the goroutine that plays the receivers and must not wait.
+type Watcher interface {
+	Connected(sender int, ep *receiver.Endpoint, taken bool)
+	Called(sender int, ep *receiver.Endpoint, c *model.Call)
+	Answered(sender int, ep *receiver.Endpoint, c *model.Call, o model.Outcome)
+	GivenUp(sender int, ep *receiver.Endpoint, c *model.Call) // c is nil where nobody read it
+	Listed(e rules.Listed)
+	Outage(u *receiver.Unit, begins bool)
+	Fell(u *receiver.Unit, by map[int]float64)
+}
+
+// FleetOptions let receivers tell senders apart: each has a discovery of its own, which lists addresses that no other is told.
+type FleetOptions struct {
+	Senders int
+	Watcher Watcher // nil: nobody is told
+}
+
 // Receivers play a scenario's receivers and its registry on sockets.
 type Receivers struct {
 	s     *scenario.Scenario
 	loop  *Loop
 	site  *world.Site
 	reg   *registry.Registry
-	disc  *platform.Discovery
+	discs []*platform.Discovery // by sender
+	watch Watcher
+	doors int
 	hosts map[rules.EndpointID]platform.Entry
+	dials map[rules.EndpointID][]string // by sender
 	order []rules.EndpointID
 	wg    sync.WaitGroup
 	log   func(string)
@@ -85,11 +106,20 @@
 
 // NewReceivers listens for discovery and for every endpoint. Run starts the troubles.
 func NewReceivers(s *scenario.Scenario, seed uint64, discovery string, log func(string)) (*Receivers, error) {
-	if n := s.Destinations(); n > 2000 {
-		return nil, fmt.Errorf("%d destinations: on sockets 2000 at most, each endpoint needs a port", n)
+	return NewFleetReceivers(s, seed, discovery, FleetOptions{Senders: 1}, log)
+}
+
+// mostDoors bounds the listeners of all endpoints.
+const mostDoors = 8000
+
+// NewFleetReceivers is NewReceivers with senders told apart. The first sender's discovery listens at the address, the others'
+// beside it on ports that are free.
+func NewFleetReceivers(s *scenario.Scenario, seed uint64, discovery string, o FleetOptions, log func(string)) (*Receivers, error) {
+	if n := s.Destinations(); n > 2000 || n*o.Senders > mostDoors {
+		return nil, fmt.Errorf("%d destinations for %d senders: on sockets 2000 at most, and %d ports", n, o.Senders, mostDoors)
 	}
-	v := &Receivers{s: s, loop: NewLoop(), hosts: map[rules.EndpointID]platform.Entry{}, seen: map[string]bool{},
-		conns: map[net.Conn]bool{}, log: log}
+	v := &Receivers{s: s, loop: NewLoop(), hosts: map[rules.EndpointID]platform.Entry{}, dials: map[rules.EndpointID][]string{},
+		seen: map[string]bool{}, conns: map[net.Conn]bool{}, log: log, doors: o.Senders, watch: o.Watcher}
 	v.counts.Outcomes = map[string]int{}
 	q := &v.loop.Q
 	v.reg = registry.New(1, false, s.Registry.Lag.Random(), q, random.Stream(seed, "registry", 0), func(_ int, e rules.Listed) { v.listed(e) })
@@ -100,13 +130,16 @@
 			return nil, err
 		}
 	}
-	disc, err := platform.NewDiscovery(discovery, v.entries()...)
-	if err != nil {
-		v.closeAll()
-		return nil, err
+	for sender := range o.Senders {
+		disc, err := platform.NewDiscovery(discovery, v.entries(sender)...)
+		if err != nil {
+			v.closeAll()
+			return nil, err
+		}
+		disc.Count(int(time.Now().UnixMilli())) // a sender may come back with a version of receivers that ran before
+		v.discs = append(v.discs, disc)
+		discovery = "127.0.0.1:0"
 	}
-	disc.Count(int(time.Now().UnixMilli())) // a sender may come back with a version of receivers that ran before
-	v.disc = disc
 	v.schedule(seed)
 	return v, nil
 }
@@ -122,7 +155,9 @@
 	st := &trouble.Stage{Scenario: &playable, Queue: &v.loop.Q, Registry: v.reg, Weights: v.s.DestinationWeights(),
 		Units: func() []*receiver.Unit { return v.site.Units }, Replace: v.replace,
 		Log: func(format string, args ...any) {
-			v.disc.Mute(v.reg.Silent > 0)
+			for _, d := range v.discs {
+				d.Mute(v.reg.Silent > 0)
+			}
 			v.log(fmt.Sprintf("%8.3fs ", v.loop.Q.Now().Seconds()) + fmt.Sprintf(format, args...))
 		}}
 	st.Schedule(seed)
@@ -138,15 +173,19 @@
 }
 
 func (v *Receivers) listen(ep *receiver.Endpoint) error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return fmt.Errorf("endpoint %d: %w", ep.ID, err)
+	for sender := range v.doors {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("endpoint %d: %w", ep.ID, err)
+		}
+		v.mu.Lock()
+		v.lns = append(v.lns, ln)
+		v.mu.Unlock()
+		v.dials[ep.ID] = append(v.dials[ep.ID], ln.Addr().String())
+		v.wg.Go(func() { v.accept(ln, ep, sender) })
 	}
-	v.mu.Lock()
-	v.lns = append(v.lns, ln)
-	v.mu.Unlock()
 	kind := v.s.Kinds[ep.Unit.Kind].Name
-	v.hosts[ep.ID] = platform.Entry{Host: "r-" + strconv.Itoa(int(ep.ID)), Dial: ln.Addr().String(), Site: ZoneName(ep.Zone),
+	v.hosts[ep.ID] = platform.Entry{Host: "r-" + strconv.Itoa(int(ep.ID)), Site: ZoneName(ep.Zone),
 		Class: kind, Block: ep.Unit.Dest, Health: "Ready"}
 	if e, known := v.reg.Entry(ep.ID); known {
 		h := v.hosts[ep.ID]
@@ -154,7 +193,6 @@
 		v.hosts[ep.ID] = h
 	}
 	v.order = append(v.order, ep.ID)
-	v.wg.Go(func() { v.accept(ln, ep) })
 	return nil
 }
 
@@ -176,21 +214,43 @@
 		}
 		v.hosts[x.Endpoint] = h
 	}
-	v.disc.Set(v.entries()...)
+	if v.watch != nil {
+		v.watch.Listed(e)
+	}
+	for sender, d := range v.discs {
+		d.Set(v.entries(sender)...)
+	}
 }
 
-func (v *Receivers) entries() []platform.Entry {
+// entries is the list as a sender is told it.
+func (v *Receivers) entries(sender int) []platform.Entry {
 	var out []platform.Entry
 	for _, id := range v.order {
 		if e, listed := v.reg.Entry(id); listed && v.hosts[id].Health != "Gone" && e.Endpoint == id {
-			out = append(out, v.hosts[id])
+			h := v.hosts[id]
+			h.Dial = v.dials[id][sender]
+			out = append(out, h)
 		}
 	}
 	return out
 }
 
-// Discovery is where discovery listens.
-func (v *Receivers) Discovery() string { return v.disc.Addr() }
+// Discovery is where discovery listens, the first sender's where each has one.
+func (v *Receivers) Discovery() string { return v.discs[0].Addr() }
+
+// DiscoveryOf is where a sender's discovery listens.
+func (v *Receivers) DiscoveryOf(sender int) string { return v.discs[sender].Addr() }
+
+// Notices returns a sender's notices so far, with the times at which they came.
+func (v *Receivers) Notices(sender int) []platform.Notice { return v.discs[sender].TimedNotices() }
+
+// notices are the lines of all notices so far.
+func (v *Receivers) notices() (lines []string) {
+	for _, d := range v.discs {
+		lines = append(lines, d.Notices()...)
+	}
+	return lines
+}
 
 // Endpoints is how many endpoints listen.
 func (v *Receivers) Endpoints() int {
@@ -215,8 +275,8 @@
 	for nc := range v.conns {
 		nc.Close()
 	}
-	if v.disc != nil {
-		go v.disc.Close() // it waits for its connections, which may wait for a watch to end
+	for _, d := range v.discs {
+		go d.Close() // it waits for its connections, which may wait for a watch to end
 	}
 }
 
@@ -229,7 +289,7 @@
 	for k, n := range v.counts.Outcomes {
 		c.Outcomes[k] = n
 	}
-	for _, line := range v.disc.Notices() {
+	for _, line := range v.notices() {
 		var n struct{ Result string }
 		if json.Unmarshal([]byte(line), &n) == nil {
 			c.Notices++
@@ -251,7 +311,7 @@
 	for id := range v.seen {
 		out[id] = true
 	}
-	for _, line := range v.disc.Notices() {
+	for _, line := range v.notices() {
 		var n struct{ Ref string }
 		if json.Unmarshal([]byte(line), &n) == nil {
 			out[n.Ref] = true
@@ -266,7 +326,7 @@
 	f(&v.counts)
 }
 
-func (v *Receivers) accept(ln net.Listener, ep *receiver.Endpoint) {
+func (v *Receivers) accept(ln net.Listener, ep *receiver.Endpoint, sender int) {
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
@@ -283,7 +343,7 @@
 				delete(v.conns, nc)
 				v.mu.Unlock()
 			}()
-			v.serve(nc, ep)
+			v.serve(nc, ep, sender)
 		})
 	}
 }
@@ -295,7 +355,7 @@
 }
 
 // serve plays one connection: the model says whether it is taken, and what becomes of each call.
-func (v *Receivers) serve(nc net.Conn, ep *receiver.Endpoint) {
+func (v *Receivers) serve(nc net.Conn, ep *receiver.Endpoint, sender int) {
 	pool := &network.Pool{KeepAlive: 24 * time.Hour}
 	var conn *network.Conn
 	var full, silent bool
@@ -309,6 +369,9 @@
 		if conn, full, silent = ep.Connect(pool, v.loop.Q.Now()); conn != nil {
 			conn.OnClose = reset
 		}
+		if v.watch != nil {
+			v.watch.Connected(sender, ep, conn != nil || silent)
+		}
 	})
 	if !ok {
 		return
@@ -327,8 +390,15 @@
 			v.loop.Do(func() { conn.OnClose = nil; conn.Close() })
 		}
 	}()
+	unread := false
+	defer func() {
+		if unread && v.watch != nil {
+			v.loop.Do(func() { v.watch.GivenUp(sender, ep, nil) })
+		}
+	}()
 	for r := range requests {
 		if silent { // it came up while the machine was away: nobody reads
+			unread = true
 			continue
 		}
 		if full {
@@ -336,7 +406,7 @@
 			_, _ = nc.Write(http1.AppendResponse(nil, 503, http1.Header{{Name: "Connection", Value: "close"}}, nil))
 			return
 		}
-		answer := v.call(ep, conn, r, requests)
+		answer := v.call(ep, conn, sender, r, requests)
 		if answer == nil {
 			continue
 		}
@@ -372,7 +442,7 @@
 }
 
 // call hands a request to the model and waits for its outcome. nil: no answer, the connection stays; empty: break it.
-func (v *Receivers) call(ep *receiver.Endpoint, conn *network.Conn, r request, more <-chan request) []byte {
+func (v *Receivers) call(ep *receiver.Endpoint, conn *network.Conn, sender int, r request, more <-chan request) []byte {
 	if r.head.Method == "GET" && r.head.Target == "/health/live" {
 		healthy := false
 		v.loop.Do(func() { healthy = ep.Health() })
@@ -382,9 +452,21 @@
 	if c == nil {
 		return status(400, nil)
 	}
+	c.Sender = sender
 	outcome := make(chan model.Outcome, 1)
-	c.Done = func(o model.Outcome) { outcome <- o }
-	if !v.loop.Do(func() { c.Sent = v.loop.Q.Now(); ep.Take(c, conn) }) {
+	c.Done = func(o model.Outcome) {
+		if v.watch != nil {
+			v.watch.Answered(sender, ep, c, o)
+		}
+		outcome <- o
+	}
+	if !v.loop.Do(func() {
+		c.Sent = v.loop.Q.Now()
+		if v.watch != nil {
+			v.watch.Called(sender, ep, c)
+		}
+		ep.Take(c, conn)
+	}) {
 		return []byte{}
 	}
 	v.count(func(n *Counts) { n.Calls++ })
@@ -393,7 +475,13 @@
 		return v.answer(ep, c, o)
 	case _, open := <-more: // the caller closed, or sent what it must not
 		if !open {
-			v.loop.Do(func() { c.Gone = true; ep.CalledOff(c) })
+			v.loop.Do(func() {
+				c.Gone = true
+				ep.CalledOff(c)
+				if v.watch != nil {
+					v.watch.GivenUp(sender, ep, c)
+				}
+			})
 			v.count(func(n *Counts) { n.Outcomes["given up"]++ })
 		}
 		return []byte{}
@@ -497,7 +585,12 @@
 
 func (x *observer) Arrived(*receiver.Unit, *model.Call)       {}
 func (x *observer) Refused(*receiver.Unit, *model.Call, bool) {}
-func (x *observer) Outage(*receiver.Unit, bool)               {}
+
+func (x *observer) Outage(u *receiver.Unit, begins bool) {
+	if x.watch != nil {
+		x.watch.Outage(u, begins)
+	}
+}
 
 func (x *observer) Ran(_ *receiver.Unit, m *model.Message, repeat bool) {
 	v := (*Receivers)(x)
@@ -515,8 +608,11 @@
 	}
 }
 
-func (x *observer) Fell(u *receiver.Unit, _ map[int]float64) {
+func (x *observer) Fell(u *receiver.Unit, by map[int]float64) {
 	v := (*Receivers)(x)
+	if v.watch != nil {
+		v.watch.Fell(u, by)
+	}
 	v.count(func(c *Counts) { c.Fallen++ })
 	v.log(fmt.Sprintf("%8.3fs unit %d of destination %d falls over", v.loop.Q.Now().Seconds(), u.Number, u.Dest))
 }
--- a/lab/scale/process.go
+++ b/lab/scale/process.go
@@ -14,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,39 +21,9 @@
 	"time"
 
 	"eiderhaven/internal/http1"
+	"eiderhaven/lab/process"
 )
 
-// nursery starts processes from one thread, which lives as long as the run: the kernel ends a process whose parent's thread
-// has ended, so that not even this program's own death leaves one behind.
-type nursery struct{ starts chan func() }
-
-func newNursery(ctx context.Context) *nursery {
-	n := &nursery{starts: make(chan func())}
-	go func() {
-		runtime.LockOSThread() // never unlocked: the thread ends with the goroutine
-		for {
-			select {
-			case f := <-n.starts:
-				f()
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return n
-}
-
-func (n *nursery) start(ctx context.Context, cmd *exec.Cmd) error {
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL} // a terminal's Ctrl-C is for this program to pass on
-	done := make(chan error, 1)
-	select {
-	case n.starts <- func() { done <- cmd.Start() }:
-		return <-done
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // sender is one real sender.
 type sender struct {
 	n       int
@@ -62,7 +31,7 @@
 	dir     string
 	listen  string
 	gate    *gate
-	nursery *nursery
+	starter *process.Starter
 	idle    chan net.Conn // to it
 
 	mu      sync.Mutex
@@ -150,8 +119,8 @@
 }
 
 // newSender writes a sender's configuration; it has not started.
-func newSender(p *Plan, s shape, n int, nursery *nursery, program, dir, listen string, g *gate) (*sender, error) {
-	one := &sender{n: n, program: program, dir: filepath.Join(dir, fmt.Sprint("s", n)), listen: listen, gate: g, nursery: nursery, idle: make(chan net.Conn, clientConns)}
+func newSender(p *Plan, s shape, n int, starter *process.Starter, program, dir, listen string, g *gate) (*sender, error) {
+	one := &sender{n: n, program: program, dir: filepath.Join(dir, fmt.Sprint("s", n)), listen: listen, gate: g, starter: starter, idle: make(chan net.Conn, clientConns)}
 	text, err := json.Marshal(map[string]any{
 		"name": fmt.Sprint("n", n), "listen": listen, "discovery": g.addr, "seed": fmt.Sprintf("%016x", p.Seed*1000+uint64(n)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": p.Senders.MemoryMB, "sockets": 1024, "disk_mb": p.Senders.DiskMB},
@@ -175,7 +144,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.started, s.back = time.Now(), time.Time{}
-	if err := s.nursery.start(ctx, cmd); err != nil {
+	if err := s.starter.Start(ctx, cmd); err != nil {
 		return fmt.Errorf("%s: %w", s.program, err)
 	}
 	done := make(chan struct{})
--- a/lab/scale/run.go
+++ b/lab/scale/run.go
@@ -13,6 +13,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"eiderhaven/lab/process"
 )
 
 // Row is what one step measured of one of those who took part.
@@ -39,7 +41,7 @@
 	plan    *Plan
 	program string
 	site    *site
-	nursery *nursery
+	starter *process.Starter
 	machine Machine
 	o       Options
 	rows    []Row
@@ -88,7 +90,7 @@
 		return nil, err
 	}
 	defer site.claim.Close()
-	r := &run{plan: p, program: o.Program, site: site, nursery: newNursery(ctx), machine: m, o: o}
+	r := &run{plan: p, program: o.Program, site: site, starter: process.NewStarter(ctx), machine: m, o: o}
 	for _, axis := range p.played() {
 		if !slices.Contains(o.Axes, axis) {
 			continue
--- a/lab/scale/stage.go
+++ b/lab/scale/stage.go
@@ -99,7 +99,7 @@
 		st.gates = append(st.gates, g)
 	}
 	for i := range s.real {
-		one, err := newSender(r.plan, s, i, r.nursery, r.program, st.dir, fmt.Sprintf("%s:%d", r.site.senders, 20000+i), st.gates[i])
+		one, err := newSender(r.plan, s, i, r.starter, r.program, st.dir, fmt.Sprintf("%s:%d", r.site.senders, 20000+i), st.gates[i])
 		if err != nil {
 			return st, err
 		}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -35,7 +35,7 @@
 	hosts   []Entry
 	changed chan struct{} // closed with the next change
 	ended   chan struct{} // closed at the end, so that nobody waits on
-	notices []string
+	notices []Notice
 	muted   bool
 	indent  string
 
@@ -179,6 +179,23 @@
 
 // Notices returns the lines of the notices so far.
 func (d *Discovery) Notices() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var lines []string
+	for _, n := range d.notices {
+		lines = append(lines, n.Line)
+	}
+	return lines
+}
+
+// Notice is a line of a notice, and when it came.
+type Notice struct {
+	At   time.Time
+	Line string
+}
+
+// TimedNotices returns the notices so far with their times.
+func (d *Discovery) TimedNotices() []Notice {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.Clone(d.notices)
@@ -270,7 +287,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.notices = append(d.notices, lines...)
+	for _, line := range lines {
+		d.notices = append(d.notices, Notice{time.Now(), line})
+	}
 	return &http1.Response{Status: 204}
 }
 
