Slow start as one budget of the fleet: every call passes one admission check

Cause: a sender with one to three failures stayed healthy behind a pause that its traffic lengthened, and sent all it held at the end of the pause; the first answer cleared it with no slow start. On probation shares went by own demand, which adds up to more than the budget; what a hang held up was released in one moment; a restart forgot what it had no message of. Lines: pause, failed, gap, recall, inherit in rules.

rules/slowstart.go decides now: a share of capacity that sums to no more over the fleet, cut by a chance bound, spent from a random phase, drawn anew after a call that ends unanswered; a warm-up counted from the mean time of the return; one call out while in doubt; endpoints out or cold are recorded in the ledger and remembered by the next process. Up to 12 senders the old reckoning holds, between 12 and 24 the two blend.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -164,6 +164,13 @@
 	x.listed(x.cfg.Known)
 	x.cfg.Known = Listing{} // the directory has it
 	x.drain()
+	for _, o := range x.cfg.Ledger.Outages() {
+		if id := x.dir.id(o.Host); id != 0 {
+			x.events = append(x.events, rules.Remembered{Endpoint: id, Ago: time.Since(o.At), Rate: o.Rate})
+		} else {
+			x.record(x.cfg.Ledger.OutageOver(o.Host)) // it is listed no more
+		}
+	}
 	for _, n := range x.cfg.Ledger.Notices() {
 		x.cfg.Platform.Tell(n)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -53,6 +53,16 @@
 	Wait time.Duration // for one that is not dead: when to come back
 }
 
+// Outage is an endpoint that the sender took for out, and had not yet seen warm again.
+type Outage struct {
+	Host string
+	At   time.Time // when it was first taken for out
+	Rate float64   // calls a second delivered to it before, kept in thousandths
+}
+
+// outageID is the entry of an outage: no message can have such an id, as none holds a zero byte.
+func outageID(host string) string { return "\x00outage " + host }
+
 // Stats counts what was found on opening.
 type Stats struct{ Broken int }
 
@@ -72,6 +82,7 @@
 	failed   int     // attempts; a hint, which a copy forward drops
 	ran      attempt // the earliest that may have run
 	notice   *Notice
+	outage   *Outage
 	home     *segment // holds the newest whole record of it
 	size     int64    // of that record
 }
@@ -195,9 +206,16 @@
 		l.seq = max(l.seq, r.seq)
 		l.entries[r.id] = e
 		s.settleIn(e, size)
+	case kindOutage:
+		id := outageID(r.ran.host)
+		l.settle(id, l.entries[id])
+		e = &entry{seq: r.seq, outage: &Outage{Host: r.ran.host, At: r.ran.at, Rate: r.rate}}
+		l.seq = max(l.seq, r.seq)
+		l.entries[id] = e
+		s.settleIn(e, size)
 	case kindCall:
 		for i, id := range r.ids {
-			if e := l.entries[id]; e != nil && e.notice == nil {
+			if e := l.entries[id]; e != nil && e.msg != nil {
 				e.open = append(e.open, attempt{num: r.nums[i], at: r.ran.at, host: r.ran.host})
 				e.attempts = max(e.attempts, r.nums[i]+1)
 			}
@@ -246,7 +264,7 @@
 func (l *Ledger) Owed() []Owed {
 	var list []*entry
 	for _, e := range l.entries {
-		if e.notice == nil {
+		if e.msg != nil {
 			list = append(list, e)
 		}
 	}
@@ -319,6 +337,39 @@
 	return l.write(record{kind: kindNotice, id: n.ID, seq: l.seq, dead: n.Dead, wait: n.Wait})
 }
 
+// Outage records that the sender takes an endpoint for out. It is a hint, and gives way where room is short.
+func (l *Ledger) Outage(o Outage) error {
+	if l.used()+int64(len(o.Host))+2*block+l.reserve() > l.limit {
+		return ErrFull
+	}
+	l.seq++
+	return l.write(record{kind: kindOutage, seq: l.seq, ran: attempt{at: o.At, host: o.Host}, rate: o.Rate})
+}
+
+// OutageOver records that an endpoint is well again.
+func (l *Ledger) OutageOver(host string) error {
+	if l.entries[outageID(host)] == nil {
+		return nil
+	}
+	return l.End(outageID(host))
+}
+
+// Outages returns the outages that are not over, oldest first.
+func (l *Ledger) Outages() []Outage {
+	var list []*entry
+	for _, e := range l.entries {
+		if e.outage != nil {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	out := make([]Outage, len(list))
+	for i, e := range list {
+		out[i] = *e.outage
+	}
+	return out
+}
+
 // Close closes the folder. What is owed stays in it.
 func (l *Ledger) Close() error { return l.file.Close() }
 
@@ -469,6 +520,9 @@
 
 // record is an entry as one whole record.
 func (e *entry) record() record {
+	if e.outage != nil {
+		return record{kind: kindOutage, seq: e.seq, ran: attempt{at: e.outage.At, host: e.outage.Host}, rate: e.outage.Rate}
+	}
 	if e.notice != nil {
 		return record{kind: kindNotice, id: e.notice.ID, seq: e.seq, dead: e.notice.Dead, wait: e.notice.Wait}
 	}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -20,6 +20,7 @@
 	kindOutcome                 // how an attempt ended
 	kindNotice                  // a message's end, of which the platform has to be told
 	kindEnd                     // nothing more is owed
+	kindOutage                  // an endpoint is taken for out; a program from before it counts this as broken and goes on
 )
 
 // record is the content of any record; which fields count goes by the kind.
@@ -37,6 +38,7 @@
 	ran      attempt // for a call: where and when
 	dead     bool
 	wait     time.Duration
+	rate     float64 // of an outage
 }
 
 var (
@@ -95,6 +97,10 @@
 		buf = binary.AppendUvarint(buf, uint64(r.wait.Milliseconds()))
 	case kindEnd:
 		buf = appendTexts(buf, r.ids)
+	case kindOutage:
+		buf = binary.AppendUvarint(buf, r.seq)
+		buf = appendAttempt(buf, r.ran)
+		buf = binary.AppendUvarint(buf, uint64(max(0, r.rate*1000)))
 	}
 	return buf
 }
@@ -282,6 +288,9 @@
 		r.wait = time.Duration(c.uint()) * time.Millisecond
 	case kindEnd:
 		r.ids = c.strings()
+	case kindOutage:
+		r.seq, r.ran = c.uint(), c.attempt()
+		r.rate = float64(c.uint()) / 1000
 	default:
 		return record{}, false
 	}
--- a/lab/sender/sender.go
+++ b/lab/sender/sender.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -76,7 +77,8 @@
 	timers   *clock.Line
 	actions  []rules.Action
 	pools    int
-	kept     []*holding // what outlasts the process, while it is down
+	kept     []*holding                  // what outlasts the process, while it is down
+	outages  map[rules.EndpointID]outage // likewise: endpoints taken for out
 	downAt   time.Duration
 	Peak     int // most messages held
 	taken    int
@@ -126,7 +128,7 @@
 
 // New returns a sender that is down.
 func New(number, zone int, set rules.Settings, w *Surroundings) *Host {
-	return &Host{Number: number, Zone: zone, Settings: set, w: w, Faults: map[string]int{},
+	return &Host{outages: map[rules.EndpointID]outage{}, Number: number, Zone: zone, Settings: set, w: w, Faults: map[string]int{},
 		line: w.Queue.Line(clock.Answer, number), timers: w.Queue.Line(clock.Timer, number)}
 }
 
@@ -141,6 +143,9 @@
 	h.live, h.flights = map[*call]bool{}, map[flightKey]*flight{}
 	h.tell(h.hear(h.w.Registry.Start(h.Number)))
 	now := h.w.Queue.Now()
+	for _, id := range slices.Sorted(maps.Keys(h.outages)) {
+		h.tell(rules.Remembered{Endpoint: id, Ago: now - h.outages[id].since, Rate: h.outages[id].rate})
+	}
 	for _, k := range h.kept {
 		h.held[k.m.ID] = k
 		h.tell(h.arrived(k, now))
@@ -217,6 +222,32 @@
 	h.inbox = nil
 	h.lastStep = now
 	h.actions = h.step(now, events)
+	h.remember(now)
+}
+
+// outage is what is kept of an endpoint taken for out.
+type outage struct {
+	since time.Duration
+	rate  float64 // calls a second delivered before
+}
+
+// observer is a policy that tells of its endpoints' states.
+type observer interface{ Observe() rules.Observations }
+
+// remember keeps what outlasts the process of a policy's view of its endpoints, as the daemon's ledger does.
+func (h *Host) remember(now time.Duration) {
+	o, ok := h.policy.(observer)
+	if !ok {
+		return
+	}
+	for _, t := range o.Observe().Transitions {
+		switch {
+		case t.To == rules.Healthy:
+			delete(h.outages, t.Endpoint)
+		case t.From == rules.Healthy:
+			h.outages[t.Endpoint] = outage{now, t.Rate}
+		}
+	}
 }
 
 // step runs the policy; a panic in it is a fault of this sender, which does nothing more.
@@ -607,6 +638,9 @@
 		p.CloseIdle()
 	}
 	h.held, h.inbox, h.live, h.flights = nil, nil, nil, nil
+	if !kept {
+		clear(h.outages)
+	}
 	if kept {
 		h.kept = all
 		return nil
--- a/lab/world/slowstart_test.go
+++ b/lab/world/slowstart_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -75,3 +80,48 @@
 		}
 	}
 }
+
+// drawReturn draws a play: any number of senders, demand, outage, age of the processes, and what the list tells.
+func drawReturn(seed uint64) returnPlay {
+	r := rand.New(rand.NewPCG(seed, 45))
+	one := func(of ...string) string { return of[r.IntN(len(of))] }
+	p := returnPlay{seed: seed, senders: int(2 * math.Exp(r.Float64()*math.Log(500))), destinations: 1, part: 1,
+		load: 0.5 + r.Float64(), kind: one("crash", "errors", "shut", "hang", "vanish"), rates: one("none", "rough", "exact"),
+		at:     []time.Duration{4 * time.Second, 15 * time.Second, 33 * time.Second}[r.IntN(3)],
+		length: time.Duration((2 + 28*r.Float64()*r.Float64()) * float64(time.Second))}
+	if r.IntN(2) == 0 && p.senders <= 300 {
+		p.destinations, p.part = 40, 0.33
+	}
+	if r.IntN(3) == 0 { // before, during or after the outage
+		p.restart = p.at + time.Duration((r.Float64()*1.6-0.3)*float64(p.length))
+	}
+	return p
+}
+
+// TestSlowStartKeepsTheBudget plays draws of all that may come together. EIDERHAVEN_GRID sets how many; 150 in a usual run.
+func TestSlowStartKeepsTheBudget(t *testing.T) {
+	plays, first := 150, uint64(1)
+	if n, err := strconv.Atoi(os.Getenv("EIDERHAVEN_GRID")); err == nil {
+		plays, first = n, 1000
+	}
+	var mu sync.Mutex
+	broken, fallen, served := 0, 0, 0.0
+	t.Run("plays", func(t *testing.T) {
+		for i := range uint64(plays) {
+			p := drawReturn(first + i)
+			t.Run(strconv.FormatUint(p.seed, 10), func(t *testing.T) {
+				t.Parallel()
+				r := p.run(t)
+				mu.Lock()
+				defer mu.Unlock()
+				fallen += min(r.Fallen, 1)
+				served += r.Whole
+				if len(r.Breaks) > 0 {
+					broken++
+					t.Errorf("%v: %v", p, r.Breaks[0])
+				}
+			})
+		}
+	})
+	t.Logf("%d plays: rule 4 broken on %d, fallen on %d, served %.3f in the mean", plays, broken, fallen, served/float64(plays))
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -192,6 +192,14 @@
 // ListFailed tells that a call to the registry failed or the watch broke.
 type ListFailed struct{}
 
+// Remembered tells that an earlier process of the same sender had seen an outage of an endpoint and had not yet seen it warm
+// again. It is a hint: no rule rests on it.
+type Remembered struct {
+	Endpoint EndpointID
+	Ago      time.Duration // since the process took it for out
+	Rate     float64       // calls a second that it had delivered there before
+}
+
 // Woke tells that a wake-up asked for has come due.
 type Woke struct{}
 
@@ -213,6 +221,7 @@
 func (Listed) event()        {}
 func (Ending) event()        {}
 func (ListFailed) event()    {}
+func (Remembered) event()    {}
 func (Woke) event()          {}
 
 // Action is something a sender does.
--- a/rules/health.go
+++ b/rules/health.go
@@ -25,8 +25,8 @@
 	startOpen     = 5                       // the same where none was turned away yet; 15 cost handshakes
 )
 
-// timeout is how long to wait on a call. Only what may be sent again is timed out; freeSlot frees slots.
-// A keyed one among it: its answer may be lost, and meanwhile it holds its key's turn and uses up its window.
+// timeout is how long to wait on a call. Only what may be sent again is timed out; freeSlot frees slots. A
+// keyed one among it: its answer may be lost, and meanwhile it holds its key's turn and uses up its window.
 func (s *Sender) timeout(m *message, ep *endpoint) time.Duration {
 	if m.class.Effect == AtMostOnce {
 		return 0
@@ -35,8 +35,8 @@
 	return max(seconds(late*patience*(1+float64(min(ep.fails, 4))/2)), minPatience)
 }
 
-// lateAfter is the time after which an answer of the endpoint to a call of the class is unusually late. Where
-// all calls take longer than they did, it is no endpoint's fault, and later is usual.
+// lateAfter is the time after which an answer of the endpoint to a call of the class is unusually late.
+// Where all calls take longer than they did, it is no endpoint's fault, and later is usual.
 func (s *Sender) lateAfter(ep *endpoint, class int) time.Duration {
 	t := &ep.service(class).timing
 	if !t.known {
@@ -81,6 +81,9 @@
 	case o != Cancelled && o != NotSent:
 		s.failed(ep, c.sent, o)
 	}
+	if e.Outcome != OK {
+		s.rephase(ep)
+	}
 	if e.Outcome == Errored || e.Outcome == TimedOut {
 		s.shun(c)
 		s.tell(c)
@@ -113,14 +116,16 @@
 		s.cured.add(s.now, deliveredMemory, 1)
 	case ep.health == probation && sent >= ep.since:
 		ep.charged = s.now
-		s.setHealth(ep, ramping, s.now, CauseAnswered)
+		s.setHealth(ep, ramping, s.returned(ep, sent), CauseAnswered)
+		s.promote(ep)
 	case ep.health == ramping && s.now-ep.since >= s.set.WarmUp:
 		s.setHealth(ep, healthy, s.now, CauseWarm)
 	}
 }
 
-// failed takes a failure. In a crowd a pause follows that grows with each more; several start probation.
-// Guards against any outage with a cold return, and a crowd each trying once more; a chance run costs a ramp.
+// failed takes a failure. A brief pause follows; several, of many senders two, start probation. Guards
+// against any outage with a cold return, and many senders each trying once more; a chance run costs a slow
+// start.
 func (s *Sender) failed(ep *endpoint, sent time.Duration, why Outcome) {
 	if why == TimedOut && ep.lastAnswer > sent {
 		return // one call lost where others are answered
@@ -128,20 +133,24 @@
 	if why == ConnectError && s.now-sent < s.set.ConnectTimeout/2 {
 		s.proven[ep.kind] = startOpen - provenOpen
 	}
+	ep.failedAt = max(ep.failedAt, sent)
 	if ep.fails++; ep.fails == 1 && ep.health == healthy {
 		ep.failing = sent
 	}
-	if s.set.Senders > crowd && (why == Reset || why == ConnectError) && s.now-sent > minLate {
+	late := why == Reset && s.now-sent > handshake || why == ConnectError && s.now-sent > minLate
+	if late && s.cautious() {
 		ep.fails = max(ep.fails, 2) // a hang or a silence may end for all at once: a brief pause spreads nothing
 	}
 	ep.dest.retryAt = s.now + s.pause(ep)
-	if ep.health != probation && ep.fails >= failStreak {
+	alone := s.kind(ep).RoutesApart || !serves(ep.dest, ep) // else its destination is well, and it may be gone
+	if ep.health != probation && (ep.fails >= failStreak || ep.fails > 1 && alone && s.cautious()) {
 		s.suspend(ep, why, CauseFailures)
 	}
 }
 
-// turnedAway takes the word that an endpoint holds all the connections it can, which is no failure: it serves
-// who has one, and calls free places. Guards against a crowd that knocks all the time; may be late for one.
+// turnedAway takes the word that an endpoint holds all the connections it can, which is no failure: it
+// serves who has one, and calls free places. Guards against a crowd that knocks all the time; may be late
+// for one.
 func (s *Sender) turnedAway(ep *endpoint) {
 	s.proven[ep.kind] = startOpen - provenOpen
 	ep.knocks = min(ep.knocks+1, failStreak)
@@ -154,11 +163,14 @@
 // suspend puts an endpoint on probation.
 func (s *Sender) suspend(ep *endpoint, why Outcome, cause Cause) {
 	if ep.health == healthy {
-		ep.base = ep.delivered.perSecond(ep.delivered.last, deliveredMemory)
+		ep.base = s.deliveredBefore(ep)
+		ep.failedAt = s.now
 	}
 	ep.symptom, ep.charged = why, s.now
+	ep.probeGap = s.shareGap(ep)
 	s.setHealth(ep, probation, s.now, cause)
-	if ep.unanswered() && s.set.Senders <= crowd { // a trial soon, on a fresh connection: the old may be dead
+	ep.charged = s.phase(ep)
+	if ep.unanswered() && s.set.Senders <= fewSenders { // a probe soon, on a fresh connection
 		ep.charged -= s.gap(ep)
 		s.act(CloseIdle{Endpoint: ep.id})
 	}
@@ -167,7 +179,8 @@
 // unanswered tells whether an endpoint is on probation for silence, not for what it answered.
 func (ep *endpoint) unanswered() bool { return ep.symptom == TimedOut || ep.symptom == ConnectError }
 
-// opensAt takes the word that a destination is shut until then: it needs no trials, and is cold from then on.
+// opensAt takes the word that a destination is shut until then: it needs no trials, and is cold from then
+// on.
 func (s *Sender) opensAt(ep *endpoint, at time.Duration) {
 	ep.lane.pace.onWait(at)
 	for _, o := range ep.dest.endpoints {
@@ -219,8 +232,9 @@
 	return s.cured.perSecond(s.now, deliveredMemory) > 1/deliveredMemory.Seconds()
 }
 
-// yieldConnections closes connections as they fall idle in a crowd, until connects are proven at a kind: idle
-// ones fill tables, and holders are never turned away. Costs handshakes. With calls out, one may be in use.
+// yieldConnections closes connections as they fall idle in a crowd, until connects are proven at a kind:
+// idle ones fill tables, and holders are never turned away. Costs handshakes. With calls out, one may be in
+// use.
 func (s *Sender) yieldConnections() {
 	for _, ep := range s.idled {
 		if s.crowded(ep) && len(ep.calls) == 0 {
@@ -230,8 +244,9 @@
 	s.idled = s.idled[:0]
 }
 
-// withdraw calls off what an endpoint left unanswered and may be sent again, to go out on a fresh connection.
-// Guards against connections that died unnoticed; where the endpoint is merely slow it wastes work begun.
+// withdraw calls off what an endpoint left unanswered and may be sent again, to go out on a fresh
+// connection. Guards against connections that died unnoticed; where the endpoint is merely slow it wastes
+// work begun.
 func (s *Sender) withdraw(ep *endpoint) {
 	for _, c := range ep.calls {
 		if effect := c.attempts[0].msg.class.Effect; effect == Safe || effect == Keyed && s.dying() {
--- a/rules/observe.go
+++ b/rules/observe.go
@@ -30,6 +30,8 @@
 	CauseToldShut  Cause = "told shut"  // a told wait longer than a limit's
 	CauseAnswered  Cause = "answered"   // a probe was answered
 	CauseShortLoss Cause = "short loss" // a probe was answered before anything can have gone cold
+	CauseInherited Cause = "inherited"  // its destination's other endpoints are in that state
+	CauseRestored  Cause = "restored"   // an earlier process had seen calls fail
 	CauseWarm      Cause = "warm"       // the warm-up is over
 )
 
@@ -41,6 +43,7 @@
 	Cause    Cause
 	Failures int           // in a row
 	Failing  time.Duration // since when, by what this sender saw
+	Rate     float64       // calls a second delivered there before the outage
 	Gap      time.Duration // to the next call that its share of the slow start budget allows
 }
 
@@ -89,7 +92,7 @@
 	if from == to || len(s.observations.Transitions) >= mostObservations {
 		return
 	}
-	t := Transition{At: s.now, Endpoint: ep.id, From: State(from), To: State(to), Cause: cause, Failures: ep.fails, Failing: ep.failing}
+	t := Transition{At: s.now, Endpoint: ep.id, From: State(from), To: State(to), Cause: cause, Failures: ep.fails, Failing: ep.failing, Rate: ep.base}
 	if to != healthy {
 		t.Gap = s.gap(ep)
 	}
--- a/rules/pack.go
+++ b/rules/pack.go
@@ -183,6 +183,8 @@
 	p.meter(&ep.delivered)
 	p.time(&ep.lastAnswer)
 	p.time(&ep.charged)
+	p.time(&ep.probeGap)
+	p.time(&ep.credit)
 	p.time(&ep.lastUse)
 	count(p, &ep.peak)
 	p.timing(&ep.timing)
@@ -190,7 +192,7 @@
 	count(p, &ep.symptom)
 	count(p, &ep.fails)
 	count(p, &ep.knocks)
-	for _, t := range []*time.Duration{&ep.since, &ep.failing, &ep.renewed, &ep.knockAt} {
+	for _, t := range []*time.Duration{&ep.since, &ep.failing, &ep.failedAt, &ep.renewed, &ep.knockAt} {
 		p.time(t)
 	}
 	p.number(&ep.base)
--- a/rules/ratecontrol.go
+++ b/rules/ratecontrol.go
@@ -105,7 +105,7 @@
 		l.refusedAt = sent
 	}
 	l.refusals++
-	lasting := s.set.Senders > crowd || l.refusals >= refusalStreak && s.now-l.refusedAt >= refusalSpan
+	lasting := s.cautious() || l.refusals >= refusalStreak && s.now-l.refusedAt >= refusalSpan
 	if wait < longWait && !lasting {
 		return
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -21,6 +21,7 @@
 // Step takes what has come in and returns what to do about it now.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
 	s.now, s.actions, s.stood = now, nil, now-s.wakeAt > minLate
+	s.startedAt = min(s.startedAt, now)
 	if now >= s.wakeAt {
 		s.wakeAt = never
 	}
@@ -28,7 +29,7 @@
 		s.handle(e)
 	}
 	for _, e := range events {
-		if a, arrived := e.(Arrived); arrived && a.Before.Failed > 0 {
+		if a, arrived := e.(Arrived); arrived && a.Before.inTrouble() {
 			s.recall(a) // by all that has come: the first alone makes a rate that outlasts the others
 		}
 	}
@@ -64,6 +65,8 @@
 		s.list(e)
 	case Told:
 		s.heard(e.Note)
+	case Remembered:
+		s.restore(e)
 	case ListFailed:
 		if s.set.AskRegistry { // ask again soon, spread out: all senders may have failed at once
 			s.watchAt = s.now + seconds(s.set.AskEvery.Seconds()/8*(0.5+s.rng.Float64()))
@@ -109,7 +112,7 @@
 		s.act(Send{ID: a.id, Endpoint: ep.id, Timeout: s.timeout(a.msg, ep), Within: s.windowLeft(a.msg)})
 	}
 	ep.lane.pace.onSend(s.now, s.set.Senders)
-	ep.charged = s.now
+	s.spend(ep)
 }
 
 // attemptEnded takes an outcome: for its endpoint once a call, for the message always. A wait binds whoever
--- a/rules/scheduling.go
+++ b/rules/scheduling.go
@@ -89,6 +89,8 @@
 			}
 		} else if useful && s.hasRoom(ep) {
 			ready = append(ready, ep)
+		} else if d.anyWaits() {
+			s.rephase(ep) // what many were held up by may end for all at once
 		}
 	}
 	slices.SortStableFunc(ready, func(a, b *endpoint) int { return cmp.Compare(s.price(a), s.price(b)) })
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -6,92 +6,323 @@
 	"time"
 )
 
-// This file owns what a destination may be sent after failures and during its slow start.
-
+// This file owns what an endpoint may be sent from the first sign of an outage until it is warm again. One
+// check, admitted, stands before every call: first tries, retries, probes, backlog and what an earlier
+// process left.
+//
+// Invariant: whatever the number of senders, the demand, the age of a process and the kind and length of an
+// outage, the calls that senders which saw the outage make in a fall window have a mean of at most the part
+// of the budget that budgetPart gives. It holds as a sender's share never sums to more than the capacity
+// over the fleet (capacityShare), as a share is spent evenly from a random phase (phase), and as a sender in
+// doubt has one call out at a time (doubtful). docs/design.md derives it and says what senders that saw
+// nothing may add.
 const (
-	retryPause    = 5 * time.Millisecond   // for each sender beyond a crowd: they must not retry at once
+	retryPause    = 5 * time.Millisecond   // for each sender beyond a few: they must not retry at once
 	maxRetryPause = 200 * time.Millisecond // longer ones bring the first retries of an outage to its end
-	restPart      = 0.7                    // of what a budget would give; 1 serves less, 0.5 pushes over
-	leastPart     = 0.3                    // calls a second of a cold budget, for any sender
+	elsewhere     = 8                      // times as long while another endpoint of the destination serves
+	leastPart     = 0.3                    // calls a second of a cold budget, for any sender of a few
+
+	fewSenders   = 12              // up to so many see enough each to tell an outage from a chance failure
+	manySenders  = 24              // from so many on, one sign of an outage is taken for one
+	roughRate    = 1.1             // a listed rate that is not exact may be so many times the true one
+	brokenPart   = 0.67            // of the calls of a fall: the rule is broken from here on
+	usualLoad    = 0.85            // of its capacity that an endpoint delivers in good times, at most
+	longestPrior = 30.0            // seconds in which a sender has a message, if it knows no better
+	unheardPart  = 0.25            // of the demand, where nothing is listed or delivered yet
+	chanceRoots  = 2.0             // roots of the mean kept free for chance; see budgetPart
+	foundPart    = 0.8             // of the time between two probes that counts as warm-up at once
+	youngDoubt   = 8 * time.Second // added to the age of an outage: others may have seen it so much longer
 )
 
-// pause is how long a destination's failed endpoints are left alone: briefly at first, then up to the time in
-// which this sender's own traffic there would use its part of a cold destination's budget.
+// caution is how far one sign of trouble counts as an outage: not at all with few senders, wholly with many.
+// Between them the two ways of reckoning blend, so that no size is a step.
+func (s *Sender) caution() float64 {
+	return min(1, max(0, float64(s.set.Senders-fewSenders)/(manySenders-fewSenders)))
+}
+
+// cautious draws whether this sender takes one sign of trouble for an outage.
+func (s *Sender) cautious() bool {
+	caution := s.caution()
+	return caution > 0 && s.rng.Float64() < caution
+}
+
+// pause is how long a destination's failed endpoints are left alone while it is in doubt whether they are
+// down.
 func (s *Sender) pause(ep *endpoint) time.Duration {
-	own := ep.dest.wanted.perSecond(s.now, deliveredMemory)
-	if s.kind(ep).RoutesApart {
-		own /= float64(ep.dest.width())
-	}
-	share := restPart / max(s.set.OverloadFactor*s.set.ColdShare*own, 1e-3)
-	steps := 6 * min(ep.fails-1, failStreak)
+	pause := min(retryPause*time.Duration(max(s.set.Senders-fewSenders, 0)), maxRetryPause)
 	if slices.ContainsFunc(ep.dest.endpoints, func(o *endpoint) bool { return o.listed && o.fails == 0 }) {
-		steps += 3 // others can serve meanwhile
+		pause *= elsewhere
 	}
-	first := min(retryPause*time.Duration(max(s.set.Senders-crowd, 0)), maxRetryPause)
-	return seconds(min(first.Seconds()*math.Exp2(float64(steps)), share) * (0.5 + s.rng.Float64()))
+	return seconds(pause.Seconds() * (0.5 + s.rng.Float64()))
 }
 
-// inherit gives a new endpoint its destination's failures, or a crowd's whole backlog goes there at once.
+// doubtful tells whether an endpoint that failed has a call out whose outcome will tell more: others wait
+// for it. Guards against a backlog that leaves at once when a pause ends; where answers are slow it is late.
+func (s *Sender) doubtful(ep *endpoint) bool {
+	most := max(1, int((1-s.caution())*float64(s.set.Slots)))
+	return most < s.set.Slots && ep.fails > 0 && ep.health == healthy && len(ep.calls) >= most
+}
+
+// inherit gives a new endpoint its destination's failures and state, or the whole backlog goes there at
+// once.
 func (s *Sender) inherit(ep *endpoint) {
+	if s.set.Senders <= fewSenders {
+		return
+	}
 	for _, other := range ep.dest.endpoints {
-		if s.set.Senders > crowd && other.lane == ep.lane {
-			ep.fails = max(ep.fails, other.fails)
+		if other.lane != ep.lane || other == ep {
+			continue
+		}
+		ep.fails = max(ep.fails, other.fails)
+		if other.health != healthy && ep.health == healthy && !serves(ep.dest, ep) && s.cautious() {
+			ep.symptom, ep.failing = other.symptom, other.failing
+			s.setHealth(ep, other.health, other.since, CauseInherited)
+			ep.charged = s.phase(ep)
 		}
 	}
 }
 
-// recall takes over an earlier process's failures at a destination, or a crowd that restarts during an outage
-// sends all that it owes as it ends; one may have gone unheard. Too careful where single attempts often fail.
+// inTrouble tells whether a message's attempts before this process speak of an outage.
+func (b Before) inTrouble() bool { return b.Failed > 0 || b.MayRun && b.Ago > firstLate }
+
+// serves tells whether a destination has an endpoint, other than this one, that is well as far as known.
+func serves(d *destination, but *endpoint) bool {
+	return slices.ContainsFunc(d.endpoints, func(o *endpoint) bool {
+		return o != but && o.listed && o.health == healthy && o.fails == 0
+	})
+}
+
+// recall takes over an earlier process's failures at a destination, or a fleet that restarts during an
+// outage sends all that it owes as it ends; one may have gone unheard, and a call that was out for long may
+// have hung. Too careful where single attempts often fail.
 func (s *Sender) recall(a Arrived) {
 	d := s.destination(a.Destination)
 	for _, ep := range d.endpoints {
-		if fails := min(max(a.Before.Failed, 2), failStreak); s.set.Senders > crowd && fails > ep.fails {
+		fails := min(max(a.Before.Failed, 2), failStreak)
+		if s.set.Senders > fewSenders && fails > ep.fails {
 			ep.fails = fails
 			d.retryAt = max(d.retryAt, s.now+s.pause(ep))
 		}
 	}
 }
 
-// gap is the time between calls to an endpoint on probation or on its ramp. A sender keeps to its own part of
-// a cold destination's budget: what it delivered before, its part of a listed rate or a least part, as few of
-// many senders have anything to send at once, times the share of capacity that must be back by now.
-func (s *Sender) gap(ep *endpoint) time.Duration {
-	peers, warm := float64(max(s.set.Senders, 1)), 0.0
-	longest := s.set.FallWindow.Seconds() * peers / 2
-	if !s.kind(ep).RoutesApart {
-		peers *= float64(ep.dest.width())
-		longest *= float64(ep.dest.width())
+// restore takes over an outage that an earlier process had seen: it may last, or the endpoint may be cold.
+func (s *Sender) restore(e Remembered) {
+	ep := s.endpoint(e.Endpoint)
+	if ep == nil || ep.health != healthy {
+		return
+	}
+	ep.failing = s.now - max(0, e.Ago)
+	s.suspendRestored(ep)
+	ep.base = max(ep.base, e.Rate)
+}
+
+// suspendRestored puts an endpoint on probation by what an earlier process saw. Few senders have no phase
+// yet, and get one here: else all of them would probe in the moment in which they are restarted.
+func (s *Sender) suspendRestored(ep *endpoint) {
+	s.suspend(ep, Reset, CauseRestored)
+	if s.caution() < 1 {
+		ep.charged = min(ep.charged, s.now-seconds(s.rng.Float64()*s.gap(ep).Seconds()))
+	}
+}
+
+// phase is when the last call of an endpoint's share may have been: any part of a gap ago, so that senders
+// which begin to hold back together do not go on together.
+func (s *Sender) phase(ep *endpoint) time.Duration {
+	ep.probeGap = s.shareGap(ep)
+	if caution := s.caution(); caution > 0 {
+		return s.now - seconds(caution*s.rng.Float64()*ep.probeGap.Seconds())
+	}
+	return s.now
+}
+
+// rephase takes a call that ended with no answer while its endpoint was held back. What the share allowed
+// meanwhile is lost: all that a hang held up ends in one moment, and would be followed in that moment.
+func (s *Sender) rephase(ep *endpoint) {
+	if ep.health != healthy && s.caution() > 0 {
+		ep.charged = max(ep.charged, s.phase(ep))
+	}
+}
+
+// spend books a call of an endpoint's share.
+func (s *Sender) spend(ep *endpoint) {
+	ep.charged = s.now
+	if ep.health == probation {
+		ep.probeGap = s.shareGap(ep)
 	}
+}
+
+// returned is when an endpoint that has answered a probe came back, by what this sender can tell: with its
+// last failure before and this answer after it, half-way between. The mean over the fleet is right, as each
+// sender's probes fall anywhere; counted from the answer, the slow start of senders that seldom probe would
+// never end. While other senders still look for it with their next probe, those that have found it may take
+// most of the time between probes for warm-up: as many of them have found it as the endpoint has warmed up.
+func (s *Sender) returned(ep *endpoint, answered time.Duration) time.Duration {
+	between := s.caution() * max(0, answered-ep.failedAt).Seconds()
+	ep.credit = seconds(foundPart * between)
+	return s.now - seconds(between/2)
+}
+
+// promote lets the other endpoints that share a limit with one that is back begin their slow start with it:
+// an outage mostly takes all of a destination, and comes to its end for all. One that is still down fails
+// again soon.
+func (s *Sender) promote(back *endpoint) {
+	for _, other := range back.dest.endpoints {
+		if other.lane == back.lane && other.health == probation && s.cautious() {
+			other.credit = back.credit
+			s.setHealth(other, ramping, back.since, CauseInherited)
+			other.charged = s.phase(other)
+		}
+	}
+}
+
+// deliveredBefore is the rate that this sender delivered to an endpoint before an outage. Right after an
+// answer a sparse sender's rate is too high, as it has just delivered something: of many senders that one
+// does not count.
+func (s *Sender) deliveredBefore(ep *endpoint) float64 {
+	rate := ep.delivered.perSecond(ep.delivered.last, deliveredMemory)
+	return max(0, rate-s.caution()/deliveredMemory.Seconds())
+}
+
+// warmth is the share of capacity that must be back at an endpoint for the next call. A budget is for a
+// window of calls, of which the last counts the capacity that is back by then: half a window on, for calls
+// at an even rate.
+func (s *Sender) warmth(ep *endpoint) float64 {
+	elapsed := 0.0
 	if ep.health == ramping {
 		mid := (s.now + max(ep.charged, ep.since)) / 2 // as the rate rises evenly since the last call
-		warm = min(1, max(0, mid-ep.since).Seconds()/max(s.set.WarmUp.Seconds(), 1e-3))
+		elapsed = max(0, mid-ep.since, ep.credit).Seconds()
+	}
+	elapsed += s.caution() * s.set.FallWindow.Seconds() / 2
+	warm := min(1, elapsed/max(s.set.WarmUp.Seconds(), 1e-3))
+	return s.set.ColdShare + (1-s.set.ColdShare)*warm
+}
+
+// peers is how many shares an endpoint's capacity has: one for each sender and endpoint that shares it.
+func (s *Sender) peers(ep *endpoint) float64 {
+	peers := float64(max(s.set.Senders, 1))
+	if !s.kind(ep).RoutesApart {
+		peers *= float64(ep.dest.width())
 	}
+	return peers
+}
+
+// fewShare is the calls a second of a warm endpoint that one of a few senders may count on: what it
+// delivered, its part of a listed rate or a least part, whichever is most.
+func (s *Sender) fewShare(ep *endpoint, peers float64) float64 {
 	part := ep.rate / peers
 	if !s.set.RatesExact {
 		part /= 2 // it may be half too high
 	}
-	// no more than its own traffic: after a long outage all of a crowd's sparse senders have something to send
+	// no more than its own traffic: after a long outage all sparse senders have something to send
 	least := min(leastPart, ep.dest.wanted.perSecond(s.now, deliveredMemory)/float64(ep.dest.width()))
-	rate := s.set.OverloadFactor * max(ep.base, part, least) * (s.set.ColdShare + (1-s.set.ColdShare)*warm)
-	gap := seconds(min(longest, 1/max(rate, 1e-3)))
+	return max(ep.base, part, least)
+}
+
+// capacityShare is the calls a second of a warm endpoint that one of many senders may count on. Equal parts
+// of a listed rate sum to the capacity. Where that is rough, what each delivered before the outage tells of
+// more. Where no rate is listed, a young process takes some of what it is asked for: demand of four times
+// the capacity is within it.
+func (s *Sender) capacityShare(ep *endpoint, peers float64) float64 {
+	// a young process has not delivered for long, and counts more on what is listed or asked for
+	heard := settled(ep.failing - s.startedAt)
+	if ep.rate == 0 {
+		wanted := ep.dest.wanted.perSecond(s.now, deliveredMemory) / float64(ep.dest.width())
+		return ep.base + (1-heard)*unheardPart*wanted
+	}
+	listed := ep.rate / peers
+	if s.set.RatesExact {
+		return listed
+	}
+	return max(listed/roughRate, ep.base/usualLoad)
+}
+
+// settled is how much of a rate a process knows that has measured it for so long.
+func settled(measured time.Duration) float64 {
+	return 1 - math.Exp(-max(0, measured).Seconds()/deliveredMemory.Seconds())
+}
+
+// informedPart is the part of all senders that must have seen an outage by now: those that had a message for
+// its destination since. Shares of the others lie idle, so each of these may have so much more. Demand is
+// estimated from what came to this sender, and where that is little from the listed rate, as if every sender
+// had its part.
+func (s *Sender) informedPart(ep *endpoint, share float64) float64 {
+	known := deliveredMemory.Seconds() * settled(s.now-s.startedAt)
+	seen := ep.dest.wanted.perSecond(s.now, deliveredMemory) * deliveredMemory.Seconds()
+	prior := deliveredMemory.Seconds()
+	if ep.rate > 0 {
+		prior = min(1/max(share*float64(ep.dest.width()), 1e-3), longestPrior)
+	}
+	demand := (1 + seen) / (prior + known)
+	return 1 - math.Exp(-demand*(s.now-ep.failing+youngDoubt).Seconds())
+}
+
+// budgetPart is the part of a budget of so many calls that informed senders may use in the mean: with
+// chanceRoots roots of it on top they stay under the part that breaks the rule of what a cold endpoint
+// bears.
+func budgetPart(budget float64) float64 {
+	budget = max(budget, 1)
+	root := math.Sqrt(budget)
+	bears := budget + 2*root + 2
+	if budget < 30 {
+		bears = budget + 3*root + 3
+	}
+	meanRoot := (math.Sqrt(chanceRoots*chanceRoots+4*brokenPart*bears) - chanceRoots) / 2
+	return meanRoot * meanRoot / budget
+}
+
+// shareGap is the time between calls that this sender's share of an endpoint's slow start budget allows. A
+// share below a call a window is a gap longer than the window. All senders together may always make a call
+// or two.
+func (s *Sender) shareGap(ep *endpoint) time.Duration {
+	peers, warmth, caution := s.peers(ep), s.warmth(ep), s.caution()
+	window := s.set.FallWindow.Seconds()
+	share := 0.0
+	if caution < 1 {
+		share += (1 - caution) * s.fewShare(ep, peers)
+	}
+	if caution > 0 {
+		part := s.capacityShare(ep, peers)
+		budget := s.set.OverloadFactor * part * peers * warmth * window
+		share += caution * part * budgetPart(budget) / s.informedPart(ep, part)
+	}
+	rate := s.set.OverloadFactor * share * warmth
+	return seconds(min(window*peers/(2-caution), 1/max(rate, 1e-3)))
+}
+
+// gap is the time between calls to an endpoint on probation or on its slow start.
+func (s *Sender) gap(ep *endpoint) time.Duration {
+	gap := s.shareGap(ep)
 	if ep.health == probation { // young trouble cannot have left anything cold
 		gap = min(gap, max(s.now-ep.failing, minLate)*time.Duration(max(s.set.Senders, 3))/6)
 		if ep.symptom == Full && s.now-ep.failing < briefTrouble {
-			gap = 0 // what refuses answers: the pace spaces the trials
+			return 0 // what refuses answers: the pace spaces the trials
+		}
+		// The share shrinks with the age of an outage; what was begun under a larger one is not put off again.
+		if caution := s.caution(); caution > 0 {
+			gap = seconds(caution*ep.probeGap.Seconds() + (1-caution)*gap.Seconds())
 		}
 	}
 	return gap
 }
 
-// gate is the earliest time at which pace and health let a call go to an endpoint.
-func (s *Sender) gate(ep *endpoint) time.Duration {
-	ep.lane.pace.lapse(s.lapsedAt)
-	at := max(ep.lane.pace.haltUntil, ep.lane.pace.next, ep.knockAt)
+// admitted is the earliest time at which slow start lets a call go to an endpoint: every call passes here.
+func (s *Sender) admitted(ep *endpoint) time.Duration {
+	at := time.Duration(0)
 	if ep.health != healthy {
-		at = max(at, ep.charged+s.gap(ep))
+		at = ep.charged + s.gap(ep)
 	}
 	if ep.fails > 0 {
 		at = max(at, ep.dest.retryAt)
 	}
+	if s.doubtful(ep) {
+		at = max(at, s.now+pollEvery)
+	}
 	return at
 }
+
+// gate is the earliest time at which pace and health let a call go to an endpoint.
+func (s *Sender) gate(ep *endpoint) time.Duration {
+	ep.lane.pace.lapse(s.lapsedAt)
+	return max(ep.lane.pace.haltUntil, ep.lane.pace.next, ep.knockAt, s.admitted(ep))
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -82,10 +82,13 @@
 	since      time.Duration // when the present health began
 	fails      int           // in a row
 	failing    time.Duration // since when
+	failedAt   time.Duration // the last call known to have failed was made
 	lastAnswer time.Duration
 	delivered  meter
 	base       float64       // calls a second delivered before the outage
 	charged    time.Duration // the last call
+	credit     time.Duration // on slow start, what counts as warm-up at least
+	probeGap   time.Duration // on probation, from that to the next, as it was reckoned then
 	renewed    time.Duration // when its connections were last renewed for silence
 
 	knocks  int           // connections turned away in a row, as the endpoint held all it can
@@ -196,6 +199,7 @@
 	wakeAt    time.Duration
 	watchAt   time.Duration
 	endsAt    time.Duration // of the process
+	startedAt time.Duration // of the first step
 	stood     bool          // the sender stood still: this step comes long after it was asked for
 	actions   []Action
 
@@ -205,7 +209,7 @@
 // New returns a sender that knows nothing but its settings.
 func New(set Settings) *Sender {
 	s := &Sender{atRest: atRest{roster: newRoster(), restAfter: restAfter, absent: map[EndpointID]absence{}}, set: set,
-		rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never,
+		rng: rand.New(rand.NewPCG(set.Seed, 0)), wakeAt: never, watchAt: never, endsAt: never, startedAt: never,
 		endpoints: map[EndpointID]*endpoint{}, dests: map[int]*destination{}, held: map[MessageID]*message{},
 		attempts: map[attemptKey]*attempt{}, turns: map[string]*turn{}, proven: map[int]int{}, ran: map[*endpoint]int{}, arrivals: make([]meter, len(set.Tenants)),
 		usual: make([]timing, len(set.Classes)), slowness: 1}
