Tests of slow start, of remembered outages, and an address of its own for each daemon under test

TestTheListOutlivesTheProcess fell once in a whole run and on 2 of some 10 under load: 'never ready'. Ruled out: the remembered outage (a wait of 7 s before the kill changed nothing). A few senders do not go by a remembered outage: they find out by themselves.

--- a/cmd/eiderhaven/main_test.go
+++ b/cmd/eiderhaven/main_test.go
@@ -62,12 +62,7 @@
 func placeAt(t testing.TB, disc *platform.Discovery) *place {
 	t.Helper()
 	p := &place{t: t, disc: disc, state: t.TempDir(), config: filepath.Join(t.TempDir(), "config.json")}
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.listen = ln.Addr().String()
-	ln.Close()
+	p.listen = testkit.Address()
 	text, err := os.ReadFile("../../example/config.json")
 	if err == nil {
 		err = os.WriteFile(p.config, text, 0o600)
--- a/internal/exchange/observe_test.go
+++ b/internal/exchange/observe_test.go
@@ -40,3 +40,50 @@
 		t.Errorf("counters %s", line)
 	}
 }
+
+// TestARestartRemembersAnOutage lets one of many senders find an endpoint out, and its next process hold a message back there.
+func TestARestartRemembersAnOutage(t *testing.T) {
+	many := func(s *rules.Settings) { s.Senders = 300 }
+	dir := t.TempDir()
+	w := newWorld(t, dir, many)
+	w.Recover()
+	w.Exchange.take(msg("m1", "stock", 1), make(chan Answer, 1))
+	for deadline := time.Now().Add(10 * time.Second); w.counts.Transitions == 0; {
+		if time.Now().After(deadline) {
+			t.Fatalf("the endpoint is still well; counters %+v", w.counts)
+		}
+		w.later(100 * time.Millisecond)
+		w.step()
+		select {
+		case c := <-w.ends.started:
+			w.finished(c.flight, Result{Written: true, Items: []ItemResult{{Outcome: rules.Errored}}})
+		default:
+		}
+	}
+	w.led.Close()
+	for _, c := range []struct {
+		host string
+		dest int
+		held bool
+	}{{"s-1", 1, true}, {"s-2", 2, false}} {
+		next := newWorld(t, dir, many)
+		next.Recover()
+		next.Exchange.take(msg("new for "+c.host, "stock", c.dest), make(chan Answer, 1))
+		next.step()
+		next.later(time.Second)
+		next.step()
+		held := true
+		for more := true; more; {
+			select {
+			case call := <-next.ends.started:
+				held = held && call.To.Name != c.host
+			default:
+				more = false
+			}
+		}
+		if held != c.held {
+			t.Errorf("%s: held back %v, want %v", c.host, held, c.held)
+		}
+		next.led.Close()
+	}
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -438,3 +438,54 @@
 		}
 	}
 }
+
+// Outages outlive the process, those that are over do not, and none is lost when its segment is dropped.
+func TestOutagesAreKept(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir, testLimit)
+	must(t, l.Outage(Outage{Host: "s-1", At: noon, Rate: 1.25}))
+	must(t, l.Outage(Outage{Host: "s-2", At: noon.Add(time.Second)}))
+	must(t, l.Outage(Outage{Host: "s-3", At: noon.Add(2 * time.Second), Rate: 0.001}))
+	must(t, l.OutageOver("s-2"))
+	must(t, l.OutageOver("never out"))
+	for i := range 4000 { // some hundred segments' worth
+		id := fmt.Sprint("m", i)
+		must(t, l.Take(msg(id, 500)))
+		must(t, l.End(id))
+	}
+	want := []Outage{{"s-1", noon, 1.25}, {"s-3", noon.Add(2 * time.Second), 0.001}}
+	for _, when := range []string{"while it is open", "after it was opened again"} {
+		got := l.Outages()
+		if len(got) != 2 || !got[0].At.Equal(want[0].At) || got[0].Host != "s-1" || got[0].Rate != 1.25 || got[1].Host != "s-3" || got[1].Rate != 0.001 {
+			t.Errorf("%s: %+v, want %+v", when, got, want)
+		}
+		if owed, notices := l.Owed(), l.Notices(); len(owed)+len(notices) > 0 {
+			t.Errorf("%s: owed %v, notices %v", when, owed, notices)
+		}
+		must(t, l.Close())
+		l = open(t, dir, testLimit)
+	}
+	if stats := l.Stats(); stats.Broken > 0 {
+		t.Errorf("%+v", stats)
+	}
+}
+
+// A folder with no room but for calls and ends takes no outage: that is a hint.
+func TestOutagesGiveWayToMessages(t *testing.T) {
+	l := open(t, t.TempDir(), testLimit)
+	for i := 0; ; i++ {
+		if err := l.Take(msg(fmt.Sprint("m", i), 4000)); errors.Is(err, ErrFull) {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+	var err error
+	for i := 0; i < 100 && err == nil; i++ {
+		err = l.Outage(Outage{Host: fmt.Sprint("s-", i), At: noon})
+	}
+	if !errors.Is(err, ErrFull) {
+		t.Errorf("%v, want a full folder", err)
+	}
+	must(t, l.Call([]string{"m0"}, []int{0}, "s-1", noon))
+}
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -3,7 +3,10 @@
 package testkit
 
 import (
+	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -46,3 +49,12 @@
 		t.Errorf("TCP_NODELAY is %d (%v)", set, err)
 	}
 }
+
+var addresses atomic.Int32
+
+// Address returns a loopback address for a process to listen on that nobody else of this machine is given: one of its own with a
+// port below those of outgoing connections. A port that is free now may be taken by a connection before the process listens.
+func Address() string {
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:9000", 2+os.Getpid()%250, n/250, 1+n%250)
+}
--- a/lab/live/live_test.go
+++ b/lab/live/live_test.go
@@ -109,12 +109,7 @@
 // startDaemon runs the daemon until the test ends and returns its address once it is ready.
 func startDaemon(t *testing.T, binary string, s *scenario.Scenario, discovery string) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
+	addr := testkit.Address()
 	text, err := Config(s, "n1", addr, discovery)
 	if err != nil {
 		t.Fatal(err)
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -106,24 +106,16 @@
 	}
 }
 
-// restore takes over an outage that an earlier process had seen: it may last, or the endpoint may be cold.
+// restore takes over an outage that an earlier process had seen: it may last, or the endpoint may be cold. A few
+// senders find out by themselves what holds now.
 func (s *Sender) restore(e Remembered) {
 	ep := s.endpoint(e.Endpoint)
-	if ep == nil || ep.health != healthy {
+	if ep == nil || ep.health != healthy || !s.cautious() {
 		return
 	}
 	ep.failing = s.now - max(0, e.Ago)
-	s.suspendRestored(ep)
-	ep.base = max(ep.base, e.Rate)
-}
-
-// suspendRestored puts an endpoint on probation by what an earlier process saw. Few senders have no phase
-// yet, and get one here: else all of them would probe in the moment in which they are restarted.
-func (s *Sender) suspendRestored(ep *endpoint) {
 	s.suspend(ep, Reset, CauseRestored)
-	if s.caution() < 1 {
-		ep.charged = min(ep.charged, s.now-seconds(s.rng.Float64()*s.gap(ep).Seconds()))
-	}
+	ep.base = max(ep.base, e.Rate)
 }
 
 // phase is when the last call of an endpoint's share may have been: any part of a gap ago, so that senders
--- /dev/null
+++ b/rules/slowstart_test.go
@@ -0,0 +1,153 @@
+package rules
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// many makes a bench of a sender of many with one listed rate.
+func many(t *testing.T, entries ...Entry) *bench {
+	t.Helper()
+	if len(entries) == 0 {
+		entries = []Entry{{Endpoint: 11, Destination: 1, ListedRate: 20}}
+	}
+	return newBench(t, func(s *Settings) { s.Senders, s.RatesListed, s.RatesExact = 300, true, true }, entries...)
+}
+
+// After a failure one call finds out, and what else is held waits for its outcome.
+func TestOneCallWhileInDoubt(t *testing.T) {
+	b := many(t)
+	id, out := b.take(safe)
+	if len(sends(out)) != 1 {
+		t.Fatalf("%v, want a call", out)
+	}
+	b.end(id, 0, 11, ConnectError)
+	for range 3 {
+		b.take(safe)
+	}
+	if n := len(sends(b.wait(2 * sec))); n != 1 {
+		t.Errorf("%d calls while one is in doubt, want 1", n)
+	}
+}
+
+// With two failures of one of many senders, its backlog waits for a probe, and goes on at the pace of a slow start.
+func TestABacklogDoesNotLeaveAtOnce(t *testing.T) {
+	b := many(t)
+	for range 6 {
+		b.take(safe)
+	}
+	ep := b.s.endpoint(11)
+	b.run(sec, always(ConnectError, 5*ms))
+	if ep.health != probation {
+		t.Fatalf("health %d after failures, want probation", ep.health)
+	}
+	ep.failing = b.now - 8*sec // it was out for longer than anything stays warm
+	ep.charged = b.now - ep.probeGap
+	ep.dest.retryAt = b.now
+	before := len(sends(b.log))
+	for range 6 {
+		b.take(safe)
+	}
+	b.run(sec, always(OK, 20*ms))
+	if n := len(sends(b.log)) - before; ep.health != ramping || n < 1 || n > 2 {
+		t.Errorf("health %d, %d calls in the second after the return, want a slow start with one or two", ep.health, n)
+	}
+}
+
+// Calls that a hang held up end in one moment; what their endpoint's share allowed meanwhile does not leave in that moment.
+func TestWhatAHangHeldUpIsNotFollowedAtOnce(t *testing.T) {
+	for _, why := range []Outcome{Reset, TimedOut, Cancelled, ConnectError} {
+		b := many(t)
+		id, _ := b.take(safe)
+		ep := b.s.endpoint(11)
+		b.s.now = b.now
+		b.s.suspend(ep, TimedOut, CauseSilence)
+		ep.charged = b.now - 100*sec
+		b.now += 20 * sec
+		b.end(id, 0, 11, why)
+		if at := b.s.admitted(ep); at <= b.now {
+			t.Errorf("outcome %d: the next call may leave at %v, %v after it", why, at, at-b.now)
+		}
+	}
+}
+
+// What keeps a call from leaving for a while, as full slots do, saves up nothing.
+func TestABlockedShareIsNotSavedUp(t *testing.T) {
+	b := newBench(t, func(s *Settings) { s.Senders, s.Slots, s.RatesListed, s.RatesExact = 300, 1, true, true },
+		Entry{Endpoint: 11, Destination: 1, ListedRate: 20}, Entry{Endpoint: 12, Destination: 2, ListedRate: 20})
+	b.step(Arrived{ID: "slot", Destination: 2, Class: once, TimeLeft: 16 * sec})
+	ep := b.s.endpoint(11)
+	b.s.suspend(ep, ConnectError, CauseFailures)
+	ep.charged = b.now - 100*sec
+	b.take(safe)
+	if at := b.s.admitted(ep); at <= b.now {
+		t.Errorf("with no slot free the share is kept: the next call may leave at %v, now %v", at, b.now)
+	}
+}
+
+// A process that is told of an outage holds back there, and a few senders find out by themselves.
+func TestARememberedOutage(t *testing.T) {
+	for _, c := range []struct{ senders, calls int }{{300, 0}, {2, 1}} {
+		b := newBench(t, func(s *Settings) { s.Senders, s.RatesListed, s.RatesExact = c.senders, true, true },
+			Entry{Endpoint: 11, Destination: 1, ListedRate: 20})
+		b.step(Remembered{Endpoint: 11, Ago: 5 * sec, Rate: 0.3}, Remembered{Endpoint: 99, Ago: sec})
+		_, out := b.take(safe)
+		if n := len(sends(out)); n != c.calls {
+			t.Errorf("%d senders: %d calls at once, want %d", c.senders, n, c.calls)
+		}
+		if ep := b.s.endpoint(11); c.senders == 300 && (ep.base != 0.3 || b.now-ep.failing != 5*sec) {
+			t.Errorf("base %v, failing for %v", ep.base, b.now-ep.failing)
+		}
+	}
+}
+
+// A new endpoint of a destination that is all out is held back as the others, and one of a destination that serves is not.
+func TestANewEndpointOfAColdDestination(t *testing.T) {
+	for _, serves := range []bool{false, true} {
+		b := many(t, Entry{Endpoint: 11, Destination: 1, ListedRate: 20}, Entry{Endpoint: 12, Destination: 1, ListedRate: 20})
+		b.s.suspend(b.s.endpoint(11), ConnectError, CauseFailures)
+		if !serves {
+			b.s.suspend(b.s.endpoint(12), ConnectError, CauseFailures)
+		}
+		b.step(Listed{Entries: []Entry{{Endpoint: 13, Destination: 1, ListedRate: 20}}})
+		if got := b.s.endpoint(13).health; (got == healthy) != serves {
+			t.Errorf("another serves %v: the new one's health is %d", serves, got)
+		}
+	}
+}
+
+// The return lies half-way between the last failure and the answer; the other endpoints of the destination begin with it.
+func TestTheReturnOfADestination(t *testing.T) {
+	b := many(t, Entry{Endpoint: 11, Destination: 1, ListedRate: 20}, Entry{Endpoint: 12, Destination: 1, ListedRate: 20})
+	one, other := b.s.endpoint(11), b.s.endpoint(12)
+	one.failing = b.now - 8*sec
+	b.s.suspend(one, Reset, CauseFailures)
+	b.s.suspend(other, Reset, CauseFailures)
+	b.now += 6 * sec
+	b.step(Woke{})
+	b.answered(11, safe, 0)
+	if one.health != ramping || b.now-one.since != 3*sec {
+		t.Errorf("health %d, back for %v, want a slow start of 3s", one.health, b.now-one.since)
+	}
+	if want := seconds(foundPart * 6); one.credit < want-time.Millisecond || one.credit > want+time.Millisecond {
+		t.Errorf("%v count as warm-up, want %v", one.credit, want)
+	}
+	if other.health != ramping || other.since != one.since {
+		t.Errorf("the other endpoint: health %d, since %v, want as the first", other.health, other.since)
+	}
+}
+
+// The part of a budget that informed senders may use keeps its distance from what breaks the rule, at every size.
+func TestBudgetPartLeavesRoomForChance(t *testing.T) {
+	for budget := 1.0; budget < 2000; budget *= 1.1 {
+		mean := budget * budgetPart(budget)
+		bears := budget + 2*math.Sqrt(budget) + 2
+		if budget < 30 {
+			bears = budget + 3*math.Sqrt(budget) + 3
+		}
+		if most := brokenPart * bears; mean+chanceRoots*math.Sqrt(mean) > most+1e-9 {
+			t.Errorf("budget %.1f: a mean of %.2f, and %.2f break the rule", budget, mean, most)
+		}
+	}
+}
