--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -133,7 +133,9 @@
 	const grows = 8 // from the first point of an axis to its last
 	within("control at a start over destinations", ratio("destinations", "real", "start_control"), grows/1.5, grows*1.5)
 	within("memory of hollow senders over destinations", ratio("destinations", "hollow", "heap"), grows/4, grows*2)
-	within("memory of real senders over destinations", ratio("destinations", "real", "resident"), 1, grows*2)
+	// Pages make the resident size of 7 MB uneven by 0.3, as much as 2,000 destinations take: the heap tells that it grows.
+	within("resident size of real senders over destinations", ratio("destinations", "real", "resident"), 0.9, grows*2)
+	within("heap of real senders over destinations", ratio("destinations", "real", "heap"), 1.2, grows)
 	within("memory over messages held", ratio("held", "real", "resident"), 1.1, grows*2)
 	within("intake over messages held", ratio("held", "real", "intake"), 0.1, 10)
 	within("watches over hollow senders", ratio("hollow", "discovery", "watches"), grows/2, grows)
