--- a/lab/world/slowstart_test.go
+++ b/lab/world/slowstart_test.go
@@ -44,7 +44,7 @@
 		"kind.partner.servers", "1", "kind.partner.service", `{ dist = "exponential", mean = "`+service+`" }`,
 		"traffic.rate", fmt.Sprint(p.load*rate*float64(p.destinations)), "rules.cold_share", "0.2", "rules.warm_up", "10s",
 		"rules.fall_term", "standing", "senders.rates_listed", p.rates, "run.length", (p.at + p.length + 15*time.Second).String())
-	s.Troubles = []scenario.Trouble{{Kind: p.kind, At: scenario.Duration(p.at), For: scenario.Duration(p.length), Part: p.part, Size: 1, By: "destination"}}
+	s.Troubles = []scenario.Trouble{{Kind: p.kind, At: scenario.Duration(p.at), For: scenario.Duration(p.length), Part: p.part, Size: p.size(), By: "destination"}}
 	if p.restart > 0 {
 		again := restarts
 		again.At = scenario.Duration(p.restart)
@@ -57,6 +57,14 @@
 	return r
 }
 
+// size is how hard the outage strikes: one in three that fail calls answers some.
+func (p returnPlay) size() float64 {
+	if p.kind == "errors" && p.seed%3 == 0 {
+		return 0.6
+	}
+	return 1
+}
+
 // check fails the test for each broken rule.
 func (p returnPlay) check(t *testing.T) {
 	t.Helper()
--- a/rules/health.go
+++ b/rules/health.go
@@ -141,6 +141,9 @@
 	if late && s.cautious() {
 		ep.fails = max(ep.fails, 2) // a hang or a silence may end for all at once: a brief pause spreads nothing
 	}
+	if ep.health == ramping && s.cautious() {
+		s.notBackYet(ep)
+	}
 	ep.dest.retryAt = s.now + s.pause(ep)
 	alone := s.kind(ep).RoutesApart || !serves(ep.dest, ep) // else its destination is well, and it may be gone
 	if ep.health != probation && (ep.fails >= failStreak || ep.fails > 1 && alone && s.cautious()) {
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// restore takes over an outage that an earlier process had seen: it may last, or the endpoint may be cold. A few
-// senders find out by themselves what holds now.
+// restore takes over an outage that an earlier process had seen: it may last, or the endpoint may be cold. A
+// few senders find out by themselves what holds now.
 func (s *Sender) restore(e Remembered) {
 	ep := s.endpoint(e.Endpoint)
 	if ep == nil || ep.health != healthy || !s.cautious() {
@@ -168,6 +168,12 @@
 	}
 }
 
+// notBackYet takes a failure on slow start: what answers some calls and fails others has an outage that goes
+// on, and is cold when that ends. The warm-up begins anew; a chance failure costs what was gained of it.
+func (s *Sender) notBackYet(ep *endpoint) {
+	ep.since, ep.credit = max(ep.since, s.now), 0
+}
+
 // deliveredBefore is the rate that this sender delivered to an endpoint before an outage. Right after an
 // answer a sparse sender's rate is too high, as it has just delivered something: of many senders that one
 // does not count.
--- a/rules/slowstart_test.go
+++ b/rules/slowstart_test.go
@@ -138,6 +138,28 @@
 	}
 }
 
+// What fails half of its calls is not back while it does so, however many answers come between.
+func TestAFailureOnSlowStartBeginsItAnew(t *testing.T) {
+	b := many(t)
+	ep := b.s.endpoint(11)
+	b.s.suspend(ep, Errored, CauseFailures)
+	b.now += 6 * sec
+	b.step(Woke{})
+	b.answered(11, safe, 0)
+	b.now += 9 * sec
+	b.step(Woke{})
+	b.s.failed(ep, b.now-10*ms, Errored)
+	if ep.health != ramping || ep.since != b.now || ep.credit != 0 {
+		t.Errorf("health %d, back since %v with %v to its credit, want a slow start from %v", ep.health, ep.since, ep.credit, b.now)
+	}
+	b.now += 2 * sec
+	b.step(Woke{})
+	b.answered(11, safe, 0)
+	if ep.health != ramping {
+		t.Errorf("health %d two seconds after a failure, want slow start", ep.health)
+	}
+}
+
 // The part of a budget that informed senders may use keeps its distance from what breaks the rule, at every size.
 func TestBudgetPartLeavesRoomForChance(t *testing.T) {
 	for budget := 1.0; budget < 2000; budget *= 1.1 {
