--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -8,7 +8,9 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"eiderhaven/lab/scale"
 )
@@ -67,6 +69,47 @@
 	}
 }
 
+// TestASoak plays one seed of the soak: drawn outages, and signals in series while clients use the connections that stay open.
+func TestASoak(t *testing.T) {
+	r := play(t, "../plans/rig-soak.toml", 1001)
+	if r.Signals["kill"] == 0 || r.Signals["term"] == 0 || r.Signals["hangup"] == 0 {
+		t.Errorf("signals %v: want some of each that the seed draws", r.Signals)
+	}
+}
+
+// TestAnInterruptedRigLeavesNothing ends a run in its first seconds: no process and no folder of it is left.
+func TestAnInterruptedRigLeavesNothing(t *testing.T) {
+	program, err := buildOnce()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, s, err := Load("../plans/rig-soak.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Senders.Count = 5
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var pids []int
+	var folder string
+	_, err = Run(ctx, p, s, Options{Program: program, Seed: 1, started: func(pid int, dir string) {
+		if pids, folder = append(pids, pid), dir; len(pids) == 5 {
+			time.AfterFunc(time.Second, cancel)
+		}
+	}})
+	if !errors.Is(err, context.Canceled) || len(pids) != 5 {
+		t.Fatalf("%v, %d processes", err, len(pids))
+	}
+	for _, pid := range pids {
+		if err := syscall.Kill(pid, 0); !errors.Is(err, syscall.ESRCH) {
+			t.Errorf("process %d: %v, want it gone", pid, err)
+		}
+	}
+	if _, err := os.Stat(folder); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("folder %s: %v, want it gone", folder, err)
+	}
+}
+
 func TestBadPlans(t *testing.T) {
 	good, err := os.ReadFile("../plans/rig-slow-start.toml")
 	if err != nil {
--- a/lab/rig/run.go
+++ b/lab/rig/run.go
@@ -27,6 +27,8 @@
 	Seed    uint64
 	Log     func(line string)
 	Keep    string // folder for the records of a run in which something broke; empty: none are kept
+
+	started func(pid int, dir string) // told of each process that is ready; for tests
 }
 
 // Result is what came of a run.
@@ -108,6 +110,11 @@
 		f.close()
 		return err
 	}
+	for _, d := range f.daemons {
+		if f.o.started != nil {
+			f.o.started(d.cmd.Process.Pid, f.dir)
+		}
+	}
 	return nil
 }
 
