--- a/internal/snapshot/form.go
+++ b/internal/snapshot/form.go
@@ -204,7 +204,6 @@
 type reader struct {
 	br   *bufio.Reader
 	left int64 // bytes of the file
-	at   int64 // where the last whole record ends
 	buf  []byte
 }
 
--- a/lab/sender/sender.go
+++ b/lab/sender/sender.go
@@ -79,8 +79,7 @@
 	pools    int
 	kept     []*holding                  // what outlasts the process, while it is down
 	outages  map[rules.EndpointID]outage // likewise: endpoints taken for out
-	downAt   time.Duration
-	Peak     int // most messages held
+	Peak     int                         // most messages held
 	taken    int
 }
 
--- a/rules/answers.go
+++ b/rules/answers.go
@@ -17,7 +17,7 @@
 func (s *Sender) end(m *message, why EndReason) {
 	s.noteEnd(m, why)
 	if s.mayRefuse(m) {
-		s.act(Refuse{ID: m.id, RetryAfter: s.advice(m.dest)})
+		s.act(Refuse{ID: m.id, RetryAfter: s.retryAfterHint(m.dest)})
 	} else {
 		s.act(Fail{ID: m.id})
 	}
@@ -29,8 +29,8 @@
 	return !ran || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeDestination
 }
 
-// advice says when a refused client should come back: when the destination may be sent to again.
-func (s *Sender) advice(d *destination) time.Duration {
+// retryAfterHint says when a refused client should come back: when the destination may be sent to again.
+func (s *Sender) retryAfterHint(d *destination) time.Duration {
 	if !s.set.MayAdvise {
 		return 0
 	}
@@ -80,7 +80,7 @@
 		s.forget(m)
 		return
 	}
-	if e.Outcome == Full && s.set.Senders > crowd {
+	if e.Outcome == Full && s.set.Senders > fewSenders {
 		m.notBefore = s.now + seconds(s.refusedPause(m.class)*float64(m.tries)*(0.5+s.rng.Float64()))
 	}
 	if e.Outcome.MayRun() && a.call.sent < m.mayRun {
@@ -93,8 +93,8 @@
 	s.file(m)
 }
 
-// refusedPause is the seconds in which a late message of the class loses a set part of its worth. Where worth
-// falls slowly, patience spares a limit that refused calls use up; where it halves, patience is dear.
+// refusedPause is the seconds in which a late message of the class loses a set part of its worth. Where
+// worth falls slowly, patience spares a limit that refused calls use up; where it halves, patience is dear.
 func (s *Sender) refusedPause(c *Class) float64 {
 	if s.set.LateHalving {
 		return -math.Log2(1-refusedCost) * c.Aim.Seconds()
@@ -102,14 +102,14 @@
 	return refusedCost / max(1-c.LateWorth, refusedCost) * (c.Deadline - c.Aim).Seconds()
 }
 
-// handBack answers at once, with when to come again, what cannot be sent in time: a told wait of all listed
+// shed answers at once, with when to come again, what cannot be sent in time: a told wait of all listed
 // endpoints lasts longer or, in a crowd, all are on probation or ramp here: others may be well there.
 // Guards against messages kept for nothing; loses what clients give up.
-func (s *Sender) handBack() {
+func (s *Sender) shed() {
 	halted := func(ep *endpoint) time.Duration { return ep.lane.pace.haltUntil }
 	for _, d := range slices.Clone(s.waiting) {
 		at := d.soonest(func(ep *endpoint) time.Duration {
-			if ep.health != healthy && s.set.Senders > crowd && s.set.MayAdvise {
+			if ep.health != healthy && s.set.Senders > fewSenders && s.set.MayAdvise {
 				return s.gate(ep)
 			}
 			return halted(ep)
@@ -129,25 +129,25 @@
 	}
 }
 
-// makeRoom refuses messages of the most backed-up destination before newcomers for others find no room.
-func (s *Sender) makeRoom() {
+// evict refuses messages of the most backed-up destination before newcomers for others find no room.
+func (s *Sender) evict() {
 	for limit := s.set.MaxHeld - max(1, s.set.MaxHeld/roomMargin); len(s.held) > limit; {
 		var worst *destination
 		for _, d := range s.waiting {
-			if s.cheapest(d) != nil && (worst == nil || s.backlog(d) > s.backlog(worst)) {
+			if s.leastValuable(d) != nil && (worst == nil || s.backlog(d) > s.backlog(worst)) {
 				worst = d
 			}
 		}
 		if worst == nil {
 			return
 		}
-		s.end(s.cheapest(worst), EndEvicted)
+		s.end(s.leastValuable(worst), EndEvicted)
 	}
 }
 
-// cheapest is the waiting message of a destination that is worth least, among those that may be refused. Of
-// equals it is the newest, which has most time left to come again.
-func (s *Sender) cheapest(d *destination) *message {
+// leastValuable is the waiting message of a destination that is worth least, among those that may be
+// refused. Of equals it is the newest, which has most time left to come again.
+func (s *Sender) leastValuable(d *destination) *message {
 	r := ranking{n: 1, last: true, parts: &s.parts}
 	for _, g := range d.groups {
 		if m := g.root; s.mayRefuse(m) {
--- a/rules/backlog.go
+++ b/rules/backlog.go
@@ -125,15 +125,6 @@
 	return t
 }
 
-// first is the message of a group with the earliest deadline.
-func (g *group) first() *message {
-	m := g.root
-	for m.left != nil {
-		m = m.left
-	}
-	return m
-}
-
 // file puts a message where it belongs by what is known of it now: into the group of its like if it waits. It notes when the
 // clock alone may change that.
 func (s *Sender) file(m *message) {
--- a/rules/backlog_test.go
+++ b/rules/backlog_test.go
@@ -116,7 +116,7 @@
 				c.groups += min(1, len(d.groups)-1)
 			}
 		}
-		got, want := s.cheapest(d), s.cheapestOfAll(d)
+		got, want := s.leastValuable(d), s.cheapestOfAll(d)
 		if got != want {
 			t.Fatalf("at %v: worth least are %v, of all %v", s.now, names([]*message{got}), names([]*message{want}))
 		}
--- a/rules/breaker.go
+++ b/rules/breaker.go
@@ -15,8 +15,9 @@
 	maxTold    = 20 * time.Second // longest wait believed from another sender
 )
 
-// tell tells the other senders of a failed or overdue call, unless enough of them have said so already.
-func (s *Sender) tell(c *call) {
+// publishHint tells the other senders of a failed or overdue call, unless enough of them have said so
+// already.
+func (s *Sender) publishHint(c *call) {
 	if c.told || !s.set.MayTell {
 		return
 	}
@@ -24,7 +25,7 @@
 	if !c.service().doubted(s.now) {
 		s.act(Tell{Note{Endpoint: c.ep.id, Class: c.class()}})
 	}
-	s.believe(c.service())
+	s.countHint(c.service())
 }
 
 // doubted tells whether enough is said of an endpoint: one call may be slow by itself, two make a class shun
@@ -33,20 +34,20 @@
 	return v.told.perSecond(now, toldMemory) >= toldEnough/toldMemory.Seconds()
 }
 
-// heard takes another sender's note. What it names may be unknown here.
-func (s *Sender) heard(n Note) {
+// onHint takes another sender's note. What it names may be unknown here.
+func (s *Sender) onHint(n Note) {
 	ep := s.endpoint(n.Endpoint)
 	switch {
 	case ep == nil || n.Class < 0 || n.Class >= len(s.set.Classes):
 	case n.Wait > 0:
 		s.opensAt(ep, s.now+min(n.Wait, maxTold))
 	default:
-		s.believe(ep.service(n.Class))
+		s.countHint(ep.service(n.Class))
 	}
 }
 
-// believe counts what is said of an endpoint.
-func (s *Sender) believe(v *service) {
+// countHint counts what is said of an endpoint.
+func (s *Sender) countHint(v *service) {
 	if v.told.add(s.now, toldMemory, 1); v.doubted(s.now) {
 		v.retryAt = max(v.retryAt, s.now+seconds(shunned.Seconds()*(1+s.rng.Float64())))
 	}
--- a/rules/health.go
+++ b/rules/health.go
@@ -42,7 +42,7 @@
 	if !t.known {
 		t = &ep.timing
 	}
-	if !t.known && s.set.Senders > crowd { // it sees little: go by what it sees elsewhere
+	if !t.known && s.set.Senders > fewSenders { // it sees little: go by what it sees elsewhere
 		t = &s.usual[class]
 	}
 	if !t.known {
@@ -77,7 +77,7 @@
 	case o == Full:
 		s.refused(ep, c.sent, e.Wait)
 	case e.NoPlace:
-		s.turnedAway(ep)
+		s.connectionLimitReached(ep)
 	case o != Cancelled && o != NotSent:
 		s.failed(ep, c.sent, o)
 	}
@@ -86,7 +86,7 @@
 	}
 	if e.Outcome == Errored || e.Outcome == TimedOut {
 		s.shun(c)
-		s.tell(c)
+		s.publishHint(c)
 	}
 }
 
@@ -104,7 +104,7 @@
 		s.usual[c.class()].sample(elapsed)
 	}
 	v.ill, v.retryAt = 0, 0
-	ep.lastAnswer, ep.fails, ep.knocks, ep.knockAt = s.now, 0, 0, 0
+	ep.lastAnswer, ep.fails, ep.connectRefusals, ep.connectNotBefore = s.now, 0, 0, 0
 	ep.delivered.add(s.now, deliveredMemory, 1)
 	ep.lane.refusals, ep.lane.servedAt = 0, s.now
 	ep.lane.pace.lapse(s.lapsedAt)
@@ -151,13 +151,14 @@
 	}
 }
 
-// turnedAway takes the word that an endpoint holds all the connections it can, which is no failure: it
-// serves who has one, and calls free places. Guards against a crowd that knocks all the time; may be late
-// for one.
-func (s *Sender) turnedAway(ep *endpoint) {
+// connectionLimitReached takes the word that an endpoint holds all the connections it can, which is no
+// failure: it serves who has one, and calls free places. Guards against many senders that try all the time;
+// may be late for one.
+func (s *Sender) connectionLimitReached(ep *endpoint) {
 	s.proven[ep.kind] = startOpen - provenOpen
-	ep.knocks = min(ep.knocks+1, failStreak)
-	ep.knockAt = s.now + seconds(ep.usually()*math.Exp2(float64(ep.knocks))*(0.5+s.rng.Float64()))
+	ep.connectRefusals = min(ep.connectRefusals+1, failStreak)
+	pause := ep.usually() * math.Exp2(float64(ep.connectRefusals)) * (0.5 + s.rng.Float64())
+	ep.connectNotBefore = s.now + seconds(pause)
 }
 
 // usually is the time to an answer, in seconds, a guess before the first.
@@ -197,9 +198,10 @@
 	}
 }
 
-// findSilence puts endpoints on probation that answer nothing of what they have. A hang never refuses.
-// Fresh connections come first, as one answer may be lost, and sooner where they have lately cured silence.
-func (s *Sender) findSilence() {
+// detectUnresponsive puts endpoints on probation that answer nothing of what they have. A hang never
+// refuses. Fresh connections come first, as one answer may be lost, and sooner where they have lately cured
+// silence.
+func (s *Sender) detectUnresponsive() {
 	dying := s.dying()
 	s.lapsedAt, s.overdue = s.now, 0
 	for _, c := range s.calls {
@@ -209,7 +211,7 @@
 			s.overdue++
 		}
 		if out > haste*late {
-			s.tell(c)
+			s.publishHint(c)
 		}
 	}
 	for _, ep := range s.calling() {
--- a/rules/pack.go
+++ b/rules/pack.go
@@ -191,8 +191,8 @@
 	count(p, &ep.health)
 	count(p, &ep.symptom)
 	count(p, &ep.fails)
-	count(p, &ep.knocks)
-	for _, t := range []*time.Duration{&ep.since, &ep.failing, &ep.failedAt, &ep.renewed, &ep.knockAt} {
+	count(p, &ep.connectRefusals)
+	for _, t := range []*time.Duration{&ep.since, &ep.failing, &ep.failedAt, &ep.renewed, &ep.connectNotBefore} {
 		p.time(t)
 	}
 	p.number(&ep.base)
--- a/rules/ratecontrol.go
+++ b/rules/ratecontrol.go
@@ -22,10 +22,10 @@
 	longWait      = 2500 * time.Millisecond // a told wait beyond a limit's own: shut; 2 s takes limits for it
 )
 
-// onFull takes a refusal of a call sent at sentAt. A listed rate seeds the first cut, as the measured
+// onRefusal takes a refusal of a call sent at sentAt. A listed rate seeds the first cut, as the measured
 // rate of a short burst may be far off it; half of this sender's part of it is a minimum, as is least.
 // Guards against a chain of cuts while a limit was low; too much where the list is long out of date.
-func (p *pace) onFull(now, sentAt time.Duration, listed float64, senders int, first, least float64) {
+func (p *pace) onRefusal(now, sentAt time.Duration, listed float64, senders int, first, least float64) {
 	span := rateSpan(senders)
 	p.refused.add(now, span, 1)
 	p.lastRefusal = now
@@ -50,7 +50,7 @@
 
 // rateSpan is the span of send and refusal rates: longer in a crowd, whose senders each call seldom.
 func rateSpan(senders int) time.Duration {
-	if senders > crowd {
+	if senders > fewSenders {
 		return crowdMemory
 	}
 	return sendMemory
@@ -96,11 +96,11 @@
 func (s *Sender) refused(ep *endpoint, sent, wait time.Duration) {
 	l, first := ep.lane, 1.0
 	l.pace.lapse(s.lapsedAt)
-	if s.set.Senders > crowd {
+	if s.set.Senders > fewSenders {
 		first = s.rng.Float64()
 	}
 	least := minPace / float64(1+15*min(l.refusals, 1)) // a sixteenth after the first refusal in a row
-	l.pace.onFull(s.now, sent, s.listedRate(ep), s.set.Senders, first, least)
+	l.pace.onRefusal(s.now, sent, s.listedRate(ep), s.set.Senders, first, least)
 	if l.refusals == 0 {
 		l.refusedAt = sent
 	}
--- a/rules/record.go
+++ b/rules/record.go
@@ -324,7 +324,7 @@
 			d := s.destination(entry.Destination)
 			s.epSeq++
 			ep = s.join(d, entry.Endpoint, s.epSeq, entry.Kind)
-			s.inherit(ep)
+			s.copyFailures(ep)
 		}
 		ep.zone, ep.rate, ep.listed = entry.Zone, s.rateOf(entry), !entry.Draining && !entry.Gone
 		s.setGone(ep, entry.Gone)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -13,7 +13,6 @@
 const (
 	deliveredMemory = 10 * time.Second       // span of delivered rates, shares and cures; an outage's length
 	goneMemory      = 30 * time.Second       // an endpoint gone this long: nothing known of it counts any more
-	crowd           = 12                     // more senders than this can fill a table by one call each
 	pollEvery       = 250 * time.Millisecond // wake-ups while anything waits
 	never           = time.Duration(math.MaxInt64)
 )
@@ -30,7 +29,7 @@
 	}
 	for _, e := range events {
 		if a, arrived := e.(Arrived); arrived && a.Before.inTrouble() {
-			s.recall(a) // by all that has come: the first alone makes a rate that outlasts the others
+			s.restoreFailures(a) // by all that has come: the first alone makes a rate that outlasts the others
 		}
 	}
 	if s.now >= s.watchAt {
@@ -39,11 +38,11 @@
 	}
 	s.callBack()
 	s.endDue()
-	s.findSilence()
+	s.detectUnresponsive()
 	s.dispatch()
-	s.handBack()
+	s.shed()
 	s.yieldConnections()
-	s.makeRoom()
+	s.evict()
 	s.scheduleWake()
 	s.restIdle()
 	return s.actions
@@ -64,7 +63,7 @@
 	case Listed:
 		s.list(e)
 	case Told:
-		s.heard(e.Note)
+		s.onHint(e.Note)
 	case Remembered:
 		s.restore(e)
 	case ListFailed:
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -588,7 +588,7 @@
 				t.Error("bound before any refusal")
 			}
 			p.refused.add(0, rateSpan(c.senders), float64(c.refused-1))
-			p.onFull(0, 0, c.listed, c.senders, 1, minPace)
+			p.onRefusal(0, 0, c.listed, c.senders, 1, minPace)
 			if math.Abs(p.rate-c.want) > 0.01 {
 				t.Errorf("rate %.2f, want %.2f", p.rate, c.want)
 			}
@@ -609,19 +609,19 @@
 		{"after both", 11 * sec, 10001 * ms, 7},
 	} {
 		p := start
-		p.onFull(c.now, c.sent, 0, 2, 1, minPace)
+		p.onRefusal(c.now, c.sent, 0, 2, 1, minPace)
 		if math.Abs(p.rate-c.want) > 1e-9 {
 			t.Errorf("%s: rate %.2f, want %.2f", c.name, p.rate, c.want)
 		}
 	}
 	p := start
 	for i := range 100 {
-		p.onFull(time.Duration(20+2*i)*sec, time.Duration(19+2*i)*sec, 0, 2, 1, minPace)
+		p.onRefusal(time.Duration(20+2*i)*sec, time.Duration(19+2*i)*sec, 0, 2, 1, minPace)
 	}
 	if p.rate != minPace {
 		t.Errorf("rate %.3f after many cuts, want the minimum", p.rate)
 	}
-	p.onFull(500*sec, 499*sec, 12, 2, 1, minPace)
+	p.onRefusal(500*sec, 499*sec, 12, 2, 1, minPace)
 	if p.rate != 3 {
 		t.Errorf("rate %.3f at a limit listed as 12 for two, want half of this sender's part", p.rate)
 	}
@@ -629,7 +629,7 @@
 
 func TestPaceClimbs(t *testing.T) {
 	cut := pace{rate: 10}
-	cut.onFull(10*sec, 9*sec, 0, 2, 1, minPace)
+	cut.onRefusal(10*sec, 9*sec, 0, 2, 1, minPace)
 	for _, c := range []struct {
 		name   string
 		waited bool
@@ -1100,7 +1100,7 @@
 	}
 }
 
-// An endpoint that holds all the connections it can serves those who have one: the sender knocks again, ever more seldom,
+// An endpoint that holds all the connections it can serves those who have one: the sender connectRefusals again, ever more seldom,
 // takes it for no outage, and works on as soon as it is let in.
 func TestAFullTableIsKnockedAtAgain(t *testing.T) {
 	b := newBench(t, func(s *Settings) { s.Senders = 300; s.MaxAttempts = 100 })
@@ -1116,7 +1116,7 @@
 	b.end("m2", 0, 11, ConnectError, func(e *Ended) { e.NoPlace = true })
 	at := b.run(6*sec, script)
 	if len(at) < 4 || len(at) > 12 {
-		t.Errorf("%d knocks in 6 s at a call of 0.1 s, want 4 to 12", len(at))
+		t.Errorf("%d connectRefusals in 6 s at a call of 0.1 s, want 4 to 12", len(at))
 	}
 	if ep := b.s.endpoint(11); ep.health != healthy || ep.fails != 0 {
 		t.Errorf("health %v after %d failures, want it taken for no outage", ep.health, ep.fails)
@@ -1137,7 +1137,7 @@
 		senders, held, want int
 	}{{300, 1, 1}, {300, perPlace - 1, 1}, {300, perPlace, 2}, {3, perPlace - 1, perPlace - 1}} {
 		b := newBench(t, func(s *Settings) { s.Senders = c.senders })
-		b.s.turnedAway(b.s.endpoint(11))
+		b.s.connectionLimitReached(b.s.endpoint(11))
 		b.wait(10 * sec)
 		var events []Event
 		for range c.held {
@@ -1147,7 +1147,7 @@
 		if n := len(sends(out)); n != c.want {
 			t.Errorf("%d senders, %d messages: %d calls at once, want %d", c.senders, c.held, n, c.want)
 		}
-		if c.held == perPlace-1 && c.senders > crowd { // the connection goes on to the next message before it is yielded
+		if c.held == perPlace-1 && c.senders > fewSenders { // the connection goes on to the next message before it is yielded
 			out = b.end("m1", 0, 11, OK)
 			if len(sends(out)) != 1 || len(pick[CloseIdle](out)) != 0 {
 				t.Errorf("after an answer %d calls and %d closed, want the next one on the same connection",
@@ -1200,7 +1200,7 @@
 		id, _ := b.take(safe)
 		b.end(id, 0, 11, Full)
 		p := b.s.endpoint(11).lane.pace
-		if gap := seconds(1 / p.rate); (p.next < b.now+gap) != (senders > crowd) {
+		if gap := seconds(1 / p.rate); (p.next < b.now+gap) != (senders > fewSenders) {
 			t.Errorf("%d senders: first gap %v of %v, want a whole one at most, a part of it in a crowd", senders, p.next-b.now, gap)
 		}
 	}
@@ -1804,7 +1804,7 @@
 // A sender of a crowd that cannot call a destination before a message's time is up hands it back at once, with when to
 // come again: another sender may be well there. Alone it keeps it.
 func TestACrowdHandsBackWhatItCannotSendInTime(t *testing.T) {
-	for _, senders := range []int{crowd + 1, crowd} {
+	for _, senders := range []int{fewSenders + 1, fewSenders} {
 		b := newBench(t, func(s *Settings) { s.Senders = senders })
 		b.serve(1, safe, 11)
 		ep := b.s.endpoint(11)
@@ -1813,7 +1813,7 @@
 		id, out := b.take(safe)
 		refused := pick[Refuse](append(out, b.wait(10*ms)...))
 		handed := slices.ContainsFunc(refused, func(r Refuse) bool { return r.ID == id && r.RetryAfter > 0 })
-		if want := senders > crowd; handed != want {
+		if want := senders > fewSenders; handed != want {
 			t.Errorf("%d senders: refused %v, want %v handed back with advice: %v", senders, refused, id, want)
 		}
 	}
--- a/rules/scheduling.go
+++ b/rules/scheduling.go
@@ -22,8 +22,8 @@
 	perPlace    = 4                      // messages for each connection to a full table; it takes three calls
 )
 
-// hasRoom tells whether one more call to the endpoint leaves slots for other lanes. Where places are scarce a
-// few messages share a connection, one by one: opening one takes as long as several calls.
+// hasRoom tells whether one more call to the endpoint leaves slots for other lanes. Where places are scarce
+// a few messages share a connection, one by one: opening one takes as long as several calls.
 func (s *Sender) hasRoom(ep *endpoint) bool {
 	free := !s.crowded(ep) || len(ep.calls) <= ep.dest.held/perPlace
 	return free && (ep.health == probation || ep.lane.inflight < max(2, int(laneShare*float64(s.set.Slots))))
@@ -50,7 +50,7 @@
 func (s *Sender) dispatch() {
 	s.resume()
 	s.plans = s.plans[:0]
-	useful := len(s.calls) < s.set.Slots || s.stalest() != nil // else no plan comes to anything
+	useful := len(s.calls) < s.set.Slots || s.oldestOverdue() != nil // else no plan comes to anything
 	for _, d := range s.waiting {
 		s.plans = append(s.plans, s.planFor(d, useful))
 	}
@@ -65,7 +65,7 @@
 			return
 		}
 		if len(s.calls) >= s.set.Slots {
-			s.freeSlot()
+			s.cancelOldest()
 			return
 		}
 		s.send(best.ep, best.msgs)
@@ -105,7 +105,7 @@
 // price orders endpoints: likely time to the answer, and a route's toll as time.
 func (s *Sender) price(ep *endpoint) float64 {
 	t := ep.usually() * (1 + float64(len(ep.calls))/2)
-	if s.set.Senders > crowd {
+	if s.set.Senders > fewSenders {
 		t *= 1 + float64(ep.fails) // one pause for all that failed: let them take turns
 	}
 	if s.now-ep.lastUse > s.set.KeepAlive || len(ep.calls) >= ep.peak {
@@ -152,7 +152,8 @@
 }
 
 // ripe tells whether a message has waited its time for company, where calls hold several. Guards against
-// small calls that use up a limit; where messages are rare it makes each a little later, at no loss of worth.
+// small calls that use up a limit; where messages are rare it makes each a little later, at no loss of
+// worth.
 func (s *Sender) ripe(m *message) bool {
 	return m.tries > 0 || s.now-(m.deadline-m.class.Deadline) >= m.class.Aim/lingerPart
 }
@@ -168,8 +169,9 @@
 	return v - s.worth(m, later) + baseUrgency*v
 }
 
-// breaks are the first deadlines at which messages of a class are alive, and in their aim, at a time. Between
-// them worth stays, rises or falls with the deadline, and gain does: where worth meets its floor none turns.
+// breaks are the first deadlines at which messages of a class are alive, and in their aim, at a time.
+// Between them worth stays, rises or falls with the deadline, and gain does: where worth meets its floor
+// none turns.
 func breaks(c *Class, at time.Duration) []time.Duration {
 	return []time.Duration{at + 1, at + c.Deadline - c.Aim}
 }
@@ -202,12 +204,13 @@
 	return within + (1-within)*s.set.OverShareWorth
 }
 
-// freeSlot gives up the stalest call, if there is one. Guards against calls that are never answered filling
-// every slot, each of which could carry ten others; where answers are merely slow, one may have been to come.
-func (s *Sender) freeSlot() { s.cancel(s.stalest()) }
+// cancelOldest gives up the stalest call, if there is one. Guards against calls that are never answered
+// filling every slot, each of which could carry ten others; where answers are merely slow, one may have been
+// to come.
+func (s *Sender) cancelOldest() { s.cancel(s.oldestOverdue()) }
 
-// stalest is the overdue call that has been out longest, nil while a slot is on the way.
-func (s *Sender) stalest() (oldest *call) {
+// oldestOverdue is the overdue call that has been out longest, nil while a slot is on the way.
+func (s *Sender) oldestOverdue() (oldest *call) {
 	for _, c := range s.calls {
 		if c.cancelled {
 			return nil
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -22,7 +22,7 @@
 	elsewhere     = 8                      // times as long while another endpoint of the destination serves
 	leastPart     = 0.3                    // calls a second of a cold budget, for any sender of a few
 
-	fewSenders   = 12              // up to so many see enough each to tell an outage from a chance failure
+	fewSenders   = 12              // up to so many see enough each to tell an outage by themselves
 	manySenders  = 24              // from so many on, one sign of an outage is taken for one
 	roughRate    = 1.1             // a listed rate that is not exact may be so many times the true one
 	brokenPart   = 0.67            // of the calls of a fall: the rule is broken from here on
@@ -63,9 +63,9 @@
 	return most < s.set.Slots && ep.fails > 0 && ep.health == healthy && len(ep.calls) >= most
 }
 
-// inherit gives a new endpoint its destination's failures and state, or the whole backlog goes there at
+// copyFailures gives a new endpoint its destination's failures and state, or the whole backlog goes there at
 // once.
-func (s *Sender) inherit(ep *endpoint) {
+func (s *Sender) copyFailures(ep *endpoint) {
 	if s.set.Senders <= fewSenders {
 		return
 	}
@@ -92,10 +92,10 @@
 	})
 }
 
-// recall takes over an earlier process's failures at a destination, or a fleet that restarts during an
-// outage sends all that it owes as it ends; one may have gone unheard, and a call that was out for long may
-// have hung. Too careful where single attempts often fail.
-func (s *Sender) recall(a Arrived) {
+// restoreFailures takes over an earlier process's failures at a destination, or a fleet that restarts during
+// an outage sends all that it owes as it ends; one may have gone unheard, and a call that was out for long
+// may have hung. Too careful where single attempts often fail.
+func (s *Sender) restoreFailures(a Arrived) {
 	d := s.destination(a.Destination)
 	for _, ep := range d.endpoints {
 		fails := min(max(a.Before.Failed, 2), failStreak)
@@ -322,5 +322,5 @@
 // gate is the earliest time at which pace and health let a call go to an endpoint.
 func (s *Sender) gate(ep *endpoint) time.Duration {
 	ep.lane.pace.lapse(s.lapsedAt)
-	return max(ep.lane.pace.haltUntil, ep.lane.pace.next, ep.knockAt, s.admitted(ep))
+	return max(ep.lane.pace.haltUntil, ep.lane.pace.next, ep.connectNotBefore, s.admitted(ep))
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -91,8 +91,8 @@
 	probeGap   time.Duration // on probation, from that to the next, as it was reckoned then
 	renewed    time.Duration // when its connections were last renewed for silence
 
-	knocks  int           // connections turned away in a row, as the endpoint held all it can
-	knockAt time.Duration // no call before, after such a one
+	connectRefusals  int           // connections turned away in a row, as the endpoint held all it can
+	connectNotBefore time.Duration // no call before, after such a one
 
 	peak    int // most calls out at once while connections stayed open
 	lastUse time.Duration
@@ -551,7 +551,7 @@
 
 // crowded tells whether the endpoint's connection table may be full: many share it, and it is not proven otherwise.
 func (s *Sender) crowded(ep *endpoint) bool {
-	return s.set.Senders > crowd && s.proven[ep.kind] < startOpen
+	return s.set.Senders > fewSenders && s.proven[ep.kind] < startOpen
 }
 
 // quiet is how long an endpoint with calls out has answered nothing.
