Margins: how near each cold return came to breaking rule 4, in lab and rig

Counts of breaks say little: some thousand returns hold a handful. Each return now records its worst window's calls of informed senders over the number of them that breaks the rule; eiderlab run and rig, and the test of drawn plays, print mean, 99th percentile, maximum and the count over 0.8. The lab's judge counts a call that its sender gave up as one seen to fail, as the rig's does.

--- a/cmd/eiderlab/play.go
+++ b/cmd/eiderlab/play.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"runtime"
 	"runtime/pprof"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,7 @@
 
 	"eiderhaven/lab/chart"
 	"eiderhaven/lab/experiment"
+	"eiderhaven/lab/margin"
 	"eiderhaven/lab/scenario"
 	"eiderhaven/lab/tally"
 	"eiderhaven/lab/world"
@@ -171,6 +173,9 @@
 		if r.Stopped != "" {
 			fmt.Printf("%s: %s\n", r.Policy, r.Stopped)
 		}
+		if len(r.Margins) > 0 {
+			fmt.Printf("%s: %v\n", r.Policy, margin.Summarize(slices.Clone(r.Margins)))
+		}
 		for name, n := range r.Faults {
 			fmt.Printf("%s: %d times: %s\n", r.Policy, n, name)
 		}
--- a/cmd/eiderlab/rig.go
+++ b/cmd/eiderlab/rig.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/spf13/cobra"
 
+	"eiderhaven/lab/margin"
 	"eiderhaven/lab/rig"
 	"eiderhaven/lab/scale"
 )
@@ -51,11 +53,14 @@
 				o.Keep = filepath.Join("results", "rig")
 			}
 			var broken []uint64
+			var margins []float64
+			defer func() { fmt.Println(margin.Summarize(margins)) }()
 			for range seeds {
 				r, err := rig.Run(c.Context(), p, s, o)
 				if err != nil {
 					return err
 				}
+				margins = append(margins, r.Margins...)
 				if err := showRig(r, o.Keep); err != nil {
 					return err
 				}
@@ -98,6 +103,7 @@
 	}
 	fmt.Printf("seed %d: %d handed in, %d taken, %d outages, %d fallen, %d breaks, signals %v, clients late by %.1f ms (p99), receivers by %.1f ms at most\n",
 		r.Seed, r.Handed, r.Taken, r.Outages, len(r.Falls), len(r.Breaks), r.Signals, r.LateLoad, r.Lag)
+	fmt.Println(" ", margin.Summarize(slices.Clone(r.Margins)))
 	for _, b := range r.Breaks[:min(len(r.Breaks), 10)] {
 		fmt.Printf("  %s rule %s, sender %d, message %s: %s\n", b.At.Format("15:04:05.000"), b.Rule, b.Sender, b.ID, b.Text)
 	}
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -9,7 +9,9 @@
 	"slices"
 	"time"
 
+	"eiderhaven/lab/margin"
 	"eiderhaven/lab/model"
+	"eiderhaven/lab/receiver"
 	"eiderhaven/lab/scenario"
 	"eiderhaven/rules"
 )
@@ -59,6 +61,7 @@
 	s       *scenario.Scenario
 	senders []*record
 	units   map[int]*unitRecord
+	outages []*unitRecord // all so far
 	unitOf  func(rules.EndpointID) (unit, zone int)
 	Breaks  []Break
 	Counts  map[Rule]int
@@ -90,6 +93,7 @@
 	begins, ends time.Duration
 	lasts        bool
 	learned      map[int]bool // senders that had seen a call fail or be refused there during the outage
+	margin       float64      // of the worst window since its end
 }
 
 // duty is a message that a sender owes its end.
@@ -302,7 +306,7 @@
 			r.waits[unit] = wait{told: now, until: now + w}
 		}
 	}
-	if o != rules.OK && o != rules.NotSent && o != rules.Cancelled {
+	if o != rules.OK && o != rules.NotSent {
 		if u := j.units[unit]; u != nil && (u.lasts || sent <= u.ends) {
 			u.learned[sender] = true
 		}
@@ -460,11 +464,29 @@
 func (j *Judge) Outage(now time.Duration, unit int, begins bool) {
 	if begins {
 		j.units[unit] = &unitRecord{begins: now, lasts: true, learned: map[int]bool{}}
+		j.outages = append(j.outages, j.units[unit])
 	} else if u := j.units[unit]; u != nil {
 		u.lasts, u.ends = false, now
 	}
 }
 
+// Weighed tells of a window of calls that a unit was sent since its return, and above how many it falls over.
+func (j *Judge) Weighed(unit int, window []receiver.Arrival, allowed float64) {
+	if u := j.units[unit]; u != nil {
+		u.margin = max(u.margin, margin.Of(window, allowed, func(sender int) bool { return u.learned[sender] }))
+	}
+}
+
+// Margins returns the margin of the worst window of each return so far.
+func (j *Judge) Margins() (margins []float64) {
+	for _, u := range j.outages {
+		if !u.lasts {
+			margins = append(margins, u.margin)
+		}
+	}
+	return margins
+}
+
 // Fell tells that a cold unit was sent too much; by holds what each sender sent in the span.
 func (j *Judge) Fell(now time.Duration, unit int, by map[int]float64) {
 	u := j.units[unit]
@@ -480,7 +502,7 @@
 			knowing += w
 		}
 	}
-	if knowing < all*2/3 {
+	if knowing < all*margin.InformedShare {
 		return
 	}
 	slices.SortFunc(senders, func(a, b int) int { return cmp.Or(cmp.Compare(by[b], by[a]), cmp.Compare(a, b)) })
--- a/lab/live/receivers.go
+++ b/lab/live/receivers.go
@@ -73,6 +73,7 @@
 	GivenUp(sender int, ep *receiver.Endpoint, c *model.Call) // c is nil where nobody read it
 	Listed(e rules.Listed)
 	Outage(u *receiver.Unit, begins bool)
+	Weighed(u *receiver.Unit, window []receiver.Arrival, allowed float64)
 	Fell(u *receiver.Unit, by map[int]float64)
 }
 
@@ -610,6 +611,12 @@
 	}
 }
 
+func (x *observer) Weighed(u *receiver.Unit, window []receiver.Arrival, allowed float64) {
+	if x.watch != nil {
+		x.watch.Weighed(u, window, allowed)
+	}
+}
+
 func (x *observer) Ran(_ *receiver.Unit, m *model.Message, repeat bool) {
 	v := (*Receivers)(x)
 	v.mu.Lock()
--- a/lab/receiver/receiver.go
+++ b/lab/receiver/receiver.go
@@ -46,6 +46,8 @@
 	Ran(u *Unit, m *model.Message, repeat bool)
 	// Outage tells that an outage began or ended.
 	Outage(u *Unit, begins bool)
+	// Weighed tells what a cold unit was sent within the span up to now, and above how much it falls over.
+	Weighed(u *Unit, window []Arrival, allowed float64)
 	// Fell tells that a cold unit was sent too much and stays down; senders holds who sent how much of it.
 	Fell(u *Unit, senders map[int]float64)
 	// Refused tells that a unit turned a call away, for its limit if limit is set.
@@ -68,14 +70,15 @@
 	cold     bool
 	coldFrom time.Duration
 	Fallen   bool
-	recent   []arrival // while cold
+	recent   []Arrival // while cold
 	Refusals int
 }
 
-type arrival struct {
-	at     time.Duration
-	sender int
-	weight float64
+// Arrival is a call that reached a cold unit.
+type Arrival struct {
+	At     time.Duration
+	Sender int
+	Weight float64 // in calls
 }
 
 // NewUnit returns a unit without endpoints.
@@ -190,20 +193,22 @@
 		return
 	}
 	weight := 1 + float64(len(c.Messages)-1)*u.Spec.BatchCost
-	u.recent = append(u.recent, arrival{now, c.Sender, weight})
-	for len(u.recent) > 0 && u.recent[0].at <= now-u.Spec.FallWindow {
+	u.recent = append(u.recent, Arrival{now, c.Sender, weight})
+	for len(u.recent) > 0 && u.recent[0].At <= now-u.Spec.FallWindow {
 		u.recent = u.recent[1:]
 	}
 	sum := 0.0
 	for _, a := range u.recent {
-		sum += a.weight
+		sum += a.Weight
 	}
-	if sum <= u.Spec.allowed(u.budget(warmth)) {
+	allowed := u.Spec.allowed(u.budget(warmth))
+	u.obs.Weighed(u, u.recent, allowed)
+	if sum <= allowed {
 		return
 	}
 	by := map[int]float64{}
 	for _, a := range u.recent {
-		by[a.sender] += a.weight
+		by[a.Sender] += a.Weight
 	}
 	u.Fallen, u.cold, u.recent = true, false, nil
 	for _, ep := range u.Endpoints {
@@ -622,8 +627,8 @@
 	}
 	sum := 0.0
 	for _, a := range u.recent {
-		if a.at > now-u.Spec.FallWindow {
-			sum += a.weight
+		if a.At > now-u.Spec.FallWindow {
+			sum += a.Weight
 		}
 	}
 	return u.budget(warmth) - sum
--- a/lab/rig/run.go
+++ b/lab/rig/run.go
@@ -37,6 +37,7 @@
 	Breaks   []Break        `json:"breaks"`
 	Falls    []fall         `json:"falls"`
 	Outages  int            `json:"outages"`
+	Margins  []float64      `json:"margins"` // of each cold return, see package margin
 	Taken    int            `json:"taken"`
 	Handed   int            `json:"handed"`
 	Signals  map[string]int `json:"signals"`
@@ -281,7 +282,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rec.handed = f.handed
-	result := &Result{Seed: f.o.Seed, Breaks: append(f.failed, rec.verdict()...), Falls: f.w.falls, Outages: len(f.w.all), Handed: len(f.handed),
+	result := &Result{Seed: f.o.Seed, Breaks: append(f.failed, rec.verdict()...), Falls: f.w.falls, Outages: len(f.w.all), Margins: f.w.margins(), Handed: len(f.handed),
 		Signals: f.sent, Counts: f.v.Counts(), LateLoad: loaded.Late99,
 		Lag: float64(f.v.Lag().Microseconds()) / 1000}
 	for _, h := range f.handed {
--- a/lab/rig/watch.go
+++ b/lab/rig/watch.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"eiderhaven/lab/margin"
 	"eiderhaven/lab/model"
 	"eiderhaven/lab/receiver"
 	"eiderhaven/rules"
@@ -46,11 +47,9 @@
 type outage struct {
 	begins, ends time.Time // ends is zero while it lasts
 	informed     map[int]bool
+	margin       float64 // of the worst window since its end
 }
 
-// informedShare is the part of the calls of a fall that breaks rule 4 when it came from informed senders.
-const informedShare = 2.0 / 3
-
 // watcher is told by receivers; its methods run on their goroutine but for those that read.
 type watcher struct {
 	mu      sync.Mutex
@@ -153,6 +152,25 @@
 	}
 }
 
+// Weighed is told of each window of calls that a unit is sent as it returns.
+func (w *watcher) Weighed(u *receiver.Unit, window []receiver.Arrival, allowed float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o := w.outages[u.Number]; o != nil {
+		o.margin = max(o.margin, margin.Of(window, allowed, func(sender int) bool { return o.informed[sender] }))
+	}
+}
+
+// margins are those of all returns so far. The caller holds the lock.
+func (w *watcher) margins() (margins []float64) {
+	for _, o := range w.all {
+		if !o.ends.IsZero() {
+			margins = append(margins, o.margin)
+		}
+	}
+	return margins
+}
+
 // Fell is told of a unit that was pushed over.
 func (w *watcher) Fell(u *receiver.Unit, by map[int]float64) {
 	w.mu.Lock()
@@ -170,7 +188,7 @@
 			f.InformedOne = append(f.InformedOne, sender)
 		}
 	}
-	f.Broken = f.Informed >= f.Sent*informedShare
+	f.Broken = f.Informed >= f.Sent*margin.InformedShare
 	w.falls = append(w.falls, f)
 }
 
--- a/lab/tally/tally.go
+++ b/lab/tally/tally.go
@@ -78,6 +78,8 @@
 	Outages     int `json:"outages"`
 	Fallen      int `json:"units_fallen"`
 
+	Margins []float64 `json:"margins,omitempty"` // of each cold return, see package margin
+
 	// Recovery is how long after the end of the last outage what all senders hold was back at its level before the first:
 	// one and a half times the mean there, and two messages more. -1 if it was not by the end, or there was no outage.
 	Recovery float64 `json:"recovery_s"`
--- a/lab/world/slowstart_test.go
+++ b/lab/world/slowstart_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"eiderhaven/lab/margin"
 	"eiderhaven/lab/scenario"
 	"eiderhaven/lab/tally"
 )
@@ -114,6 +115,7 @@
 	}
 	var mu sync.Mutex
 	broken, fallen, served := 0, 0, 0.0
+	var margins []float64
 	t.Run("plays", func(t *testing.T) {
 		for i := range uint64(plays) {
 			p := drawReturn(first + i)
@@ -124,6 +126,7 @@
 				defer mu.Unlock()
 				fallen += min(r.Fallen, 1)
 				served += r.Whole
+				margins = append(margins, r.Margins...)
 				if len(r.Breaks) > 0 {
 					broken++
 					t.Errorf("%v: %v", p, r.Breaks[0])
@@ -132,4 +135,5 @@
 		}
 	})
 	t.Logf("%d plays: rule 4 broken on %d, fallen on %d, served %.3f in the mean", plays, broken, fallen, served/float64(plays))
+	t.Log(margin.Summarize(margins))
 }
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -346,6 +346,7 @@
 			r.Broken += n
 		}
 	}
+	r.Margins = w.judge.Margins()
 	r.Faults = map[string]int{}
 	for _, h := range w.senders {
 		r.PeakHeld = max(r.PeakHeld, h.Peak)
@@ -404,6 +405,10 @@
 	x.judge.Outage(x.q.Now(), u.Number, begins)
 }
 
+func (x *watcher) Weighed(u *receiver.Unit, window []receiver.Arrival, allowed float64) {
+	x.judge.Weighed(u.Number, window, allowed)
+}
+
 func (x *watcher) Fell(u *receiver.Unit, by map[int]float64) {
 	x.books.Fallen++
 	(*World)(x).log("unit %d of destination %d falls over", u.Number, u.Dest)
