A failure that no call follows in time counts as an outage, to one of many senders

Cause: one failure leaves an endpoint healthy and outside slow start, however old it is. A brief pause spreads the calls that follow failures as they come; calls that had to wait for a slot or a message leave together. Mend: endDoubts takes an endpoint for out whose last word is a failure that was not followed up 0.1 s after its pause; the first call then falls into a random phase of its share like any probe. The test of yielded connections clears the failure it makes, as that now has a say of its own; what it checks is the same.

--- a/lab/world/hundreds_test.go
+++ b/lab/world/hundreds_test.go
@@ -69,6 +69,7 @@
 					t.Errorf("seed %d: %v\n\t%s", seed, b, strings.Join(b.Trail, "\n\t"))
 				}
 				calls := float64(r.Calls) / float64(r.Asked)
+				t.Logf("seed %d: served %.4f, %.3f calls a message", seed, r.Whole, calls)
 				if r.Whole < row.served || calls > row.calls || len(r.Faults) > 0 || r.Stopped != "" {
 					t.Errorf("seed %d: served %.3f, %.2f calls a message, faults %v, stopped %q; want %.2f at least and %.2f at most",
 						seed, r.Whole, calls, r.Faults, r.Stopped, row.served, row.calls)
--- a/rules/health.go
+++ b/rules/health.go
@@ -80,6 +80,8 @@
 		s.connectionLimitReached(ep)
 	case o == Cancelled && s.now-c.sent > s.lateAfter(ep, c.class()) && s.alone(ep) && s.cautious():
 		s.failed(ep, c.sent, TimedOut) // given up for its slot, or for silence: no more is learned of a hang
+	case o == TimedOut && s.now-c.sent < minLate && s.cautious():
+		// its message's time was up: nothing is learned of the endpoint
 	case o != Cancelled && o != NotSent:
 		s.failed(ep, c.sent, o)
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,6 +39,7 @@
 	s.callBack()
 	s.endDue()
 	s.detectUnresponsive()
+	s.endDoubts()
 	s.dispatch()
 	s.shed()
 	s.yieldConnections()
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1088,6 +1088,7 @@
 		b := newBench(t, func(s *Settings) { s.Senders = c.senders })
 		if c.fails > 0 {
 			b.s.failed(b.s.endpoint(11), b.now-c.fails, ConnectError)
+			b.s.endpoint(11).fails = 0 // this is of connections; doubt of the endpoint has tests of its own
 		}
 		for range c.answers {
 			b.answered(11, safe, 50*ms)
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -22,16 +22,17 @@
 	elsewhere     = 8                      // times as long while another endpoint of the destination serves
 	leastPart     = 0.3                    // calls a second of a cold budget, for any sender of a few
 
-	fewSenders   = 12              // up to so many see enough each to tell an outage by themselves
-	manySenders  = 24              // from so many on, one sign of an outage is taken for one
-	roughRate    = 1.1             // a listed rate that is not exact may be so many times the true one
-	brokenPart   = 0.67            // of the calls of a fall: the rule is broken from here on
-	usualLoad    = 0.85            // of its capacity that an endpoint delivers in good times, at most
-	longestPrior = 30.0            // seconds in which a sender has a message, if it knows no better
-	unheardPart  = 0.25            // of the demand, where nothing is listed or delivered yet
-	chanceRoots  = 2.0             // roots of the mean kept free for chance; see budgetPart
-	foundPart    = 0.8             // of the time between two probes that counts as warm-up at once
-	youngDoubt   = 8 * time.Second // added to the age of an outage: others may have seen it so much longer
+	fewSenders   = 12                     // up to so many see enough each to tell an outage by themselves
+	manySenders  = 24                     // from so many on, one sign of an outage is taken for one
+	roughRate    = 1.1                    // a listed rate that is not exact may be so many times the true one
+	brokenPart   = 0.67                   // of the calls of a fall: the rule is broken from here on
+	usualLoad    = 0.85                   // of its capacity that an endpoint delivers in good times, at most
+	longestPrior = 30.0                   // seconds in which a sender has a message, if it knows no better
+	unheardPart  = 0.25                   // of the demand, where nothing is listed or delivered yet
+	followUp     = 100 * time.Millisecond // from the end of a pause; a failure not followed up counts as two
+	chanceRoots  = 2.0                    // roots of the mean kept free for chance; see budgetPart
+	foundPart    = 0.8                    // of the time between two probes that counts as warm-up at once
+	youngDoubt   = 8 * time.Second        // added to an outage's age: others may have seen it so much longer
 )
 
 // caution is how far one sign of trouble counts as an outage: not at all with few senders, wholly with many.
@@ -63,6 +64,23 @@
 	return most < s.set.Slots && ep.fails > 0 && ep.health == healthy && len(ep.calls) >= most
 }
 
+// endDoubts takes endpoints for out whose last word is a failure that no call has followed in time. A brief
+// pause spreads the calls that follow failures as they come; those that had to wait, for a slot or for a
+// message, would leave many senders in one moment, as slots are freed by what ends for all of them at once.
+func (s *Sender) endDoubts() {
+	if s.caution() == 0 {
+		return
+	}
+	for _, d := range s.waiting {
+		for _, ep := range d.endpoints {
+			late := ep.fails > 0 && ep.health == healthy && s.now > d.retryAt+followUp && len(ep.calls) == 0
+			if late && s.alone(ep) && s.cautious() {
+				s.suspend(ep, TimedOut, CauseFailures)
+			}
+		}
+	}
+}
+
 // copyFailures gives a new endpoint its destination's failures and state, or the whole backlog goes there at
 // once.
 func (s *Sender) copyFailures(ep *endpoint) {
@@ -103,7 +121,7 @@
 	for _, ep := range d.endpoints {
 		fails := min(max(a.Before.Failed, 2), failStreak)
 		if s.set.Senders > fewSenders && fails > ep.fails {
-			ep.fails = fails
+			ep.fails, ep.failing = fails, s.now
 			d.retryAt = max(d.retryAt, s.now+s.pause(ep))
 		}
 	}
--- a/rules/slowstart_test.go
+++ b/rules/slowstart_test.go
@@ -178,6 +178,50 @@
 	}
 }
 
+// A failure that no call follows when its pause ends, as no slot or no message is there, is an outage to one of many senders:
+// what frees many of them in one moment would let all of them go on in it. Few senders go on as they did.
+func TestAFailureThatIsNotFollowedUpIsAnOutage(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		senders int
+		idle    time.Duration
+		calls   int
+		health  health
+	}{
+		{"followed up in time", 300, 0, 1, healthy},
+		{"no message for 4 s", 300, 4 * sec, 0, probation},
+		{"few senders", 2, 4 * sec, 1, healthy},
+	} {
+		b := newBench(t, func(s *Settings) { s.Senders, s.RatesListed, s.RatesExact = c.senders, true, true },
+			Entry{Endpoint: 11, Destination: 1, ListedRate: 20})
+		id, _ := b.take(once)
+		b.end(id, 0, 11, Errored) // it may have run, and is not sent again
+		b.now = max(b.s.endpoint(11).dest.retryAt, b.now+c.idle)
+		_, out := b.take(safe)
+		if got := len(sends(out)); got != c.calls {
+			t.Errorf("%s: %d calls, want %d", c.name, got, c.calls)
+		}
+		if got := b.s.endpoint(11).health; got != c.health {
+			t.Errorf("%s: health %d, want %d", c.name, got, c.health)
+		}
+	}
+}
+
+// A call cut short by its message's deadline says nothing of an endpoint; one that was out for long does.
+func TestACallCutShortIsNoFailure(t *testing.T) {
+	for _, c := range []struct {
+		out   time.Duration
+		fails int
+	}{{20 * ms, 0}, {sec, 1}} {
+		b := many(t)
+		b.s.now = b.now
+		b.s.judge(b.made(11, safe, b.now-c.out), Ended{Outcome: TimedOut, Elapsed: c.out})
+		if got := b.s.endpoint(11).fails; got != c.fails {
+			t.Errorf("timed out after %v: %d failures, want %d", c.out, got, c.fails)
+		}
+	}
+}
+
 // The part of a budget that informed senders may use keeps its distance from what breaks the rule, at every size.
 func TestBudgetPartLeavesRoomForChance(t *testing.T) {
 	for budget := 1.0; budget < 2000; budget *= 1.1 {
