An answer to an older call takes no failure back, of many senders

The destination answers after five to eight seconds, so such answers come after its return. They set the count of failures to zero; likewise any answer that came after a call was made let its time-out pass for a single lost answer. Mend: of many senders only an answer to a later call counts for either; the failure then is followed up or counts as an outage.

--- a/rules/health.go
+++ b/rules/health.go
@@ -95,7 +95,8 @@
 }
 
 // succeeded takes an answer. In probation only one to a call sent since it began starts the ramp: older ones
-// may have been served before the outage.
+// may have been served before the outage. For the same reason one to a call no younger than the last that
+// failed takes back no failure, of many senders: they would go on together.
 func (s *Sender) succeeded(c *call, elapsed time.Duration) {
 	ep, sent, v := c.ep, c.sent, c.service()
 	s.proven[ep.kind]++
@@ -108,7 +109,11 @@
 		s.usual[c.class()].sample(elapsed)
 	}
 	v.ill, v.retryAt = 0, 0
-	ep.lastAnswer, ep.fails, ep.connectRefusals, ep.connectNotBefore = s.now, 0, 0, 0
+	if ep.fails > 0 && (sent > ep.failedAt || !s.cautious()) {
+		ep.fails = 0
+	}
+	ep.lastAnswer, ep.connectRefusals, ep.connectNotBefore = s.now, 0, 0
+	ep.answeredFrom = max(ep.answeredFrom, sent)
 	ep.delivered.add(s.now, deliveredMemory, 1)
 	ep.lane.refusals, ep.lane.servedAt = 0, s.now
 	ep.lane.pace.lapse(s.lapsedAt)
@@ -131,7 +136,7 @@
 // against any outage with a cold return, and many senders each trying once more; a chance run costs a slow
 // start.
 func (s *Sender) failed(ep *endpoint, sent time.Duration, why Outcome) {
-	if why == TimedOut && ep.lastAnswer > sent {
+	if why == TimedOut && s.laterAnswered(ep, sent) {
 		return // one call lost where others are answered
 	}
 	if why == ConnectError && s.now-sent < s.set.ConnectTimeout/2 {
@@ -154,6 +159,15 @@
 	}
 }
 
+// laterAnswered tells whether an answer speaks for an endpoint that left a call unanswered. Of many senders
+// only one to a later call does: calls of before an outage may be answered after a call that it swallowed.
+func (s *Sender) laterAnswered(ep *endpoint, sent time.Duration) bool {
+	if s.cautious() {
+		return ep.answeredFrom > sent
+	}
+	return ep.lastAnswer > sent
+}
+
 // connectionLimitReached takes the word that an endpoint holds all the connections it can, which is no
 // failure: it serves who has one, and calls free places. Guards against many senders that try all the time;
 // may be late for one.
--- a/rules/pack.go
+++ b/rules/pack.go
@@ -182,6 +182,7 @@
 func (p *packer) endpoint(ep *endpoint) {
 	p.meter(&ep.delivered)
 	p.time(&ep.lastAnswer)
+	p.time(&ep.answeredFrom)
 	p.time(&ep.charged)
 	p.time(&ep.probeGap)
 	p.time(&ep.credit)
--- a/rules/slowstart_test.go
+++ b/rules/slowstart_test.go
@@ -207,6 +207,40 @@
 	}
 }
 
+// Calls made before an outage, or beside the call that failed, may be answered after it: such an answer takes no failure back,
+// and does not make a time-out a lost answer. Seen in the soak, seed 1005: nine of the fifteen calls that pushed a destination
+// over came from four senders whose last word there had been a failure, and an answer to an older call.
+func TestAnOlderAnswerTakesNoFailureBack(t *testing.T) {
+	for _, c := range []struct {
+		senders  int
+		answered time.Duration // when the answered call was made, after the one that failed
+		fails    int
+	}{{300, -sec, 1}, {300, 0, 1}, {300, 10 * ms, 0}, {2, -sec, 0}} {
+		b := newBench(t, func(s *Settings) { s.Senders = c.senders })
+		ep := b.s.endpoint(11)
+		b.s.now = b.now
+		b.s.failed(ep, b.now-2*sec, Errored)
+		b.s.succeeded(b.made(11, safe, b.now-2*sec+c.answered), sec)
+		if ep.fails != c.fails {
+			t.Errorf("%d senders, a call made %v after the failed one is answered: %d failures, want %d", c.senders, c.answered, ep.fails, c.fails)
+		}
+	}
+	for _, c := range []struct {
+		senders  int
+		answered time.Duration
+		fails    int
+	}{{300, -sec, 1}, {300, sec, 0}, {2, -sec, 0}} {
+		b := newBench(t, func(s *Settings) { s.Senders = c.senders })
+		ep := b.s.endpoint(11)
+		b.s.now = b.now
+		b.s.succeeded(b.made(11, safe, b.now-6*sec+c.answered), 3*sec)
+		b.s.failed(ep, b.now-6*sec, TimedOut)
+		if ep.fails != c.fails {
+			t.Errorf("%d senders, a time-out beside an answer to a call made %v after it: %d failures, want %d", c.senders, c.answered, ep.fails, c.fails)
+		}
+	}
+}
+
 // A call cut short by its message's deadline says nothing of an endpoint; one that was out for long does.
 func TestACallCutShortIsNoFailure(t *testing.T) {
 	for _, c := range []struct {
--- a/rules/state.go
+++ b/rules/state.go
@@ -77,19 +77,20 @@
 	timing
 	services *service // the first of those that were asked for
 
-	health     health
-	symptom    Outcome
-	since      time.Duration // when the present health began
-	fails      int           // in a row
-	failing    time.Duration // since when
-	failedAt   time.Duration // the last call known to have failed was made
-	lastAnswer time.Duration
-	delivered  meter
-	base       float64       // calls a second delivered before the outage
-	charged    time.Duration // the last call
-	credit     time.Duration // on slow start, what counts as warm-up at least
-	probeGap   time.Duration // on probation, from that to the next, as it was reckoned then
-	renewed    time.Duration // when its connections were last renewed for silence
+	health       health
+	symptom      Outcome
+	since        time.Duration // when the present health began
+	fails        int           // in a row
+	failing      time.Duration // since when
+	failedAt     time.Duration // the last call known to have failed was made
+	lastAnswer   time.Duration
+	answeredFrom time.Duration // the last call known to be answered was made
+	delivered    meter
+	base         float64       // calls a second delivered before the outage
+	charged      time.Duration // the last call
+	credit       time.Duration // on slow start, what counts as warm-up at least
+	probeGap     time.Duration // on probation, from that to the next, as it was reckoned then
+	renewed      time.Duration // when its connections were last renewed for silence
 
 	connectRefusals  int           // connections turned away in a row, as the endpoint held all it can
 	connectNotBefore time.Duration // no call before, after such a one
