Doubt that lasts ends with a slow start; any failure on slow start begins it anew

By its trace, four senders in slow start as a new outage struck had one call time out there (sender 4: sent 34.495, timed out 40.102); an answer 3.4 s after the return then found ten seconds since their old return and took the destination for warm ("slow start to healthy (warm)" at 44.975), and each let two calls go at once. Two in healthy state with a doubt of seconds were taken for well by one answer. Cause: only an error began a slow start anew, and it began at the failure, not at the return that the next answer shows. Mend: any failure there does, and the answer that ends doubt on slow start, or doubt older than brief trouble, sets the return half-way between the last failure and itself, as a probe's does.

--- a/lab/world/slowstart_test.go
+++ b/lab/world/slowstart_test.go
@@ -90,6 +90,37 @@
 	}
 }
 
+// TestHangsThatEndTogether makes the order of seed 1020 of the soak happen on every play: most destinations hang, so that the
+// slots of most senders are full of calls to them, and all of these end in the same millisecond. Eight of the nine senders
+// whose calls then pushed a destination over within 10 ms had seen a single call fail there, up to 9 s before ("from=healthy
+// to=probation failures=2 failing_for=10.9s" at the fall): one failure left an endpoint healthy, and outside slow start. No
+// return may come to what breaks the rule.
+func TestHangsThatEndTogether(t *testing.T) {
+	for _, shape := range []struct {
+		senders int
+		load    float64
+	}{{41, 0.5}, {41, 1}, {120, 1}} {
+		t.Run(fmt.Sprint(shape.senders, " senders, load ", shape.load), func(t *testing.T) {
+			t.Parallel()
+			var margins []float64
+			for seed := uint64(900); seed < 924; seed++ {
+				p := returnPlay{senders: shape.senders, destinations: 40, load: shape.load, kind: "hang", at: 33 * time.Second,
+					length: 8500 * time.Millisecond, part: 0.6, rates: "rough", seed: seed}
+				r := p.run(t)
+				margins = append(margins, r.Margins...)
+				for _, b := range r.Breaks {
+					t.Errorf("%v: %v\n\t%s", p, b, strings.Join(b.Trail, "\n\t"))
+				}
+			}
+			got := margin.Summarize(margins)
+			t.Log(got)
+			if got.Max >= 1 {
+				t.Errorf("%v: one comes to what breaks the rule", got)
+			}
+		})
+	}
+}
+
 // drawReturn draws a play: any number of senders, demand, outage, age of the processes, and what the list tells.
 func drawReturn(seed uint64) returnPlay {
 	r := rand.New(rand.NewPCG(seed, 45))
--- a/rules/health.go
+++ b/rules/health.go
@@ -109,6 +109,7 @@
 		s.usual[c.class()].sample(elapsed)
 	}
 	v.ill, v.retryAt = 0, 0
+	outlasted := s.outlastedDoubt(ep, sent)
 	if ep.fails > 0 && (sent > ep.failedAt || !s.cautious()) {
 		ep.fails = 0
 	}
@@ -127,6 +128,8 @@
 		ep.charged = s.now
 		s.setHealth(ep, ramping, s.returned(ep, sent), CauseAnswered)
 		s.promote(ep)
+	case outlasted:
+		s.beginAnew(ep, sent)
 	case ep.health == ramping && s.now-ep.since >= s.set.WarmUp:
 		s.setHealth(ep, healthy, s.now, CauseWarm)
 	}
@@ -150,7 +153,7 @@
 	if late && s.cautious() {
 		ep.fails = max(ep.fails, 2) // a hang or a silence may end for all at once: a brief pause spreads nothing
 	}
-	if ep.health == ramping && why == Errored && s.cautious() {
+	if ep.health == ramping && s.cautious() {
 		s.notBackYet(ep)
 	}
 	ep.dest.retryAt = s.now + s.pause(ep)
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -81,6 +81,24 @@
 	}
 }
 
+// outlastedDoubt tells whether an answer to a call ends a doubt that is too old for a chance failure, or one
+// on slow start: the endpoint may be cold.
+func (s *Sender) outlastedDoubt(ep *endpoint, sent time.Duration) bool {
+	if ep.fails == 0 || sent <= ep.failedAt || ep.health == probation || !s.cautious() {
+		return false
+	}
+	return ep.health == ramping || sent-ep.failing >= briefTrouble && s.alone(ep)
+}
+
+// beginAnew begins the slow start that follows such a doubt.
+func (s *Sender) beginAnew(ep *endpoint, sent time.Duration) {
+	if ep.health == healthy {
+		ep.base, ep.symptom = s.deliveredBefore(ep), TimedOut
+	}
+	ep.charged = s.now
+	s.setHealth(ep, ramping, max(ep.since, s.returned(ep, sent)), CauseAnswered)
+}
+
 // copyFailures gives a new endpoint its destination's failures and state, or the whole backlog goes there at
 // once.
 func (s *Sender) copyFailures(ep *endpoint) {
@@ -189,8 +207,9 @@
 	}
 }
 
-// notBackYet takes an error on slow start: what answers some calls and fails others has an outage that goes
-// on, and is cold when that ends. The warm-up begins anew; a chance failure costs what was gained of it.
+// notBackYet takes a failure on slow start: what answers some calls and fails others has an outage that goes
+// on, what leaves one unanswered may have a new one, and is cold when that ends. The warm-up begins anew; a
+// chance failure costs what was gained of it.
 func (s *Sender) notBackYet(ep *endpoint) {
 	ep.since, ep.credit = max(ep.since, s.now), 0
 }
--- a/rules/slowstart_test.go
+++ b/rules/slowstart_test.go
@@ -256,6 +256,33 @@
 	}
 }
 
+// Doubt that lasted as long as an outage ends with a slow start, as the endpoint may have come back since; so does doubt on
+// slow start, which then begins at the return that the answer shows.
+func TestLongDoubtEndsWithASlowStart(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before health
+		age    time.Duration
+		want   health
+	}{
+		{"brief doubt", healthy, sec, healthy},
+		{"long doubt", healthy, 8 * sec, ramping},
+		{"on slow start", ramping, 12 * sec, ramping},
+	} {
+		b := many(t)
+		ep := b.s.endpoint(11)
+		b.s.now = b.now
+		ep.health, ep.since = c.before, b.now-20*sec
+		b.s.failed(ep, b.now-c.age, TimedOut)
+		b.now += 100 * ms
+		b.step(Woke{})
+		b.answered(11, safe, 20*ms)
+		if ep.health != c.want || c.want == ramping && b.now-ep.since > c.age/2+sec {
+			t.Errorf("%s: health %d, back for %v, want %d and %v", c.name, ep.health, b.now-ep.since, c.want, c.age/2)
+		}
+	}
+}
+
 // The part of a budget that informed senders may use keeps its distance from what breaks the rule, at every size.
 func TestBudgetPartLeavesRoomForChance(t *testing.T) {
 	for budget := 1.0; budget < 2000; budget *= 1.1 {
