--- a/lab/world/hundreds_test.go
+++ b/lab/world/hundreds_test.go
@@ -78,3 +78,31 @@
 		}
 	}
 }
+
+// TestAFleetWithoutListedRatesFindsAReturn plays thirty senders whose list tells no rates, before destinations that are all shut
+// for 10 s and come back cold. They size their probes by a quarter of what they are asked for, and so look for the return four
+// times as seldom as with listed rates; most messages are shed meanwhile. 0.85 of what is served with listed rates has to be
+// served, the least share that the standing test allows a fleet to keep of its usual one.
+func TestAFleetWithoutListedRatesFindsAReturn(t *testing.T) {
+	for seed := range uint64(3) {
+		served := map[string]float64{}
+		for _, rates := range []string{"rough", "none"} {
+			s := load(t, "../scenarios/hundreds.toml", "senders.count", "30", "kind.partner.destinations", "20", "kind.partner.servers", "1",
+				"kind.partner.service", `{ dist = "exponential", mean = "140ms" }`, "traffic.rate", "100", "rules.cold_share", "0.2",
+				"rules.warm_up", "10s", "rules.fall_term", "standing", "senders.rates_listed", rates, "run.length", "25s")
+			s.Troubles = []scenario.Trouble{{Kind: "shut", At: scenario.Duration(3 * time.Second), For: scenario.Duration(10 * time.Second), Part: 1, By: "destination"}}
+			r, err := Run(s, Options{Seed: seed, Workers: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			served[rates] = r.Whole
+			for _, b := range r.Breaks {
+				t.Errorf("seed %d, rates %s: %v", seed, rates, b)
+			}
+		}
+		t.Logf("seed %d: served %.3f, %.3f with listed rates", seed, served["none"], served["rough"])
+		if served["none"] < 0.85*served["rough"] {
+			t.Errorf("seed %d: served %.3f without listed rates, want 0.85 of %.3f", seed, served["none"], served["rough"])
+		}
+	}
+}
