One sign of an outage counts wholly from 12 senders on, not at all up to 7

Symptom: sizes of 9 to 23 had the worst tail of all. Cause: up to 12 senders the older reckoning of shares held, which has no invariant over the fleet, and half of it up to 24. Change: the blend lies between 7 and 12 senders. A constant of its own for it, as other decisions go by 12 senders too. The test of the part of one of a few senders plays seven of them, with rates in the same ratio.

--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1659,9 +1659,9 @@
 		listed   float64
 		arrivals int     // in the last moment, which a span of 10 s counts as a tenth each
 		want     float64 // calls a second, before the cuts
-	}{{"rough", false, 24, 0, 1}, {"exact", true, 24, 0, 2}, {"little", true, 0.24, 5, leastPart},
-		{"none listed", true, 0, 5, leastPart}, {"none listed, seldom", true, 0, 1, 1 / (0.4 * fewSenders)}} { // all may make two calls a window
-		b := newBench(t, func(s *Settings) { s.Senders, s.RatesListed, s.RatesExact = fewSenders, true, c.exact },
+	}{{"rough", false, 2 * soloSenders, 0, 1}, {"exact", true, 2 * soloSenders, 0, 2}, {"little", true, 0.02 * soloSenders, 5, leastPart},
+		{"none listed", true, 0, 5, leastPart}, {"none listed, seldom", true, 0, 1, 1 / (0.4 * soloSenders)}} { // all may make two calls a window
+		b := newBench(t, func(s *Settings) { s.Senders, s.RatesListed, s.RatesExact = soloSenders, true, c.exact },
 			Entry{Endpoint: 11, Destination: 1, ListedRate: c.listed})
 		for range c.arrivals {
 			b.s.destination(1).wanted.add(b.now, deliveredMemory, 1)
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -22,8 +22,9 @@
 	elsewhere     = 8                      // times as long while another endpoint of the destination serves
 	leastPart     = 0.3                    // calls a second of a cold budget, for any sender of a few
 
-	fewSenders   = 12                     // up to so many see enough each to tell an outage by themselves
-	manySenders  = 24                     // from so many on, one sign of an outage is taken for one
+	soloSenders  = 7                      // up to so many see enough each to tell an outage by themselves
+	fewSenders   = 12                     // up to so many share connections and limits with no care for others
+	manySenders  = 12                     // from so many on, one sign of an outage is taken for one
 	roughRate    = 1.1                    // a listed rate that is not exact may be so many times the true one
 	brokenPart   = 0.67                   // of the calls of a fall: the rule is broken from here on
 	usualLoad    = 0.85                   // of its capacity that an endpoint delivers in good times, at most
@@ -38,7 +39,7 @@
 // caution is how far one sign of trouble counts as an outage: not at all with few senders, wholly with many.
 // Between them the two ways of reckoning blend, so that no size is a step.
 func (s *Sender) caution() float64 {
-	return min(1, max(0, float64(s.set.Senders-fewSenders)/(manySenders-fewSenders)))
+	return min(1, max(0, float64(s.set.Senders-soloSenders)/(manySenders-soloSenders)))
 }
 
 // cautious draws whether this sender takes one sign of trouble for an outage.
