Doubt has a file of its own; constants of the module without the story of their tuning

What one failure means (the pause, the one call that finds out, the end of doubt, what a restart takes over) moves out of slowstart.go and health.go into doubt.go.

--- a/rules/health.go
+++ b/rules/health.go
@@ -10,19 +10,19 @@
 // it waits for an answer.
 
 const (
-	failStreak    = 4                       // failures in a row: an outage; 2 mistakes half the calls for one
-	silenceFactor = 3                       // late-answer times of silence: an outage; 2 suspects slow ones
+	failStreak    = 4                       // failures in a row that are an outage
+	silenceFactor = 3                       // late-answer times of silence that are an outage
 	briefTrouble  = 3 * time.Second         // trouble shorter than this leaves nothing cold
-	latGain       = 0.125                   // weight of a new latency sample; 1/4 is jumpy, 1/16 slow to follow
+	latGain       = 0.125                   // weight of a new latency sample
 	firstLate     = 2 * time.Second         // late-answer time before any sample
-	mostSlow      = 2                       // times that late grows where all calls are slow; 6 is even
+	mostSlow      = 2                       // times that late grows where all calls are slow
 	minLate       = 500 * time.Millisecond  // least late-answer time: service times have long tails
 	maxLate       = 8 * time.Second         // most: a slow endpoint must still be found silent in time
-	patience      = 5                       // time-out of a repeatable call, in late-answer times; 3 is wasteful
-	haste         = 2                       // the same with all slots taken; 5 lets lost answers fill them
+	patience      = 5                       // time-out of a repeatable call, in late-answer times
+	haste         = 2                       // the same with all slots taken
 	minPatience   = 1500 * time.Millisecond // least such time-out: a connect and a service time
 	provenOpen    = 60                      // answers since a connect was turned away; then they stay open
-	startOpen     = 5                       // the same where none was turned away yet; 15 cost handshakes
+	startOpen     = 5                       // the same where none was turned away yet
 )
 
 // timeout is how long to wait on a call. Only what may be sent again is timed out; freeSlot frees slots. A
@@ -162,15 +162,6 @@
 	}
 }
 
-// laterAnswered tells whether an answer speaks for an endpoint that left a call unanswered. Of many senders
-// only one to a later call does: calls of before an outage may be answered after a call that it swallowed.
-func (s *Sender) laterAnswered(ep *endpoint, sent time.Duration) bool {
-	if s.cautious() {
-		return ep.answeredFrom > sent
-	}
-	return ep.lastAnswer > sent
-}
-
 // connectionLimitReached takes the word that an endpoint holds all the connections it can, which is no
 // failure: it serves who has one, and calls free places. Guards against many senders that try all the time;
 // may be late for one.
--- a/rules/ratecontrol.go
+++ b/rules/ratecontrol.go
@@ -8,18 +8,18 @@
 // This file owns the AIMD rate of a lane: what a refusal, an answer and a told wait do to it.
 
 const (
-	cutFactor     = 0.7                     // the design's DecreaseFactor; 0.8 loses where routes are apart
-	cutCooldown   = time.Second             // the design's start value; 2 s lets refusals run on
-	climbInterval = time.Second             // the design starts at 2 s; a limit is found in half the time
+	cutFactor     = 0.7                     // the design's DecreaseFactor
+	cutCooldown   = time.Second             // between two cuts
+	climbInterval = time.Second             // between two steps up
 	climbShare    = 0.1                     // share of the rate before the last cut; fixed by the design
 	fewCalls      = 2.5                     // a rate measured over fewer says little: a listed one is better
 	minPace       = 1.0                     // calls a second of one sender: traffic is not spread evenly
-	paceLapse     = 15 * time.Second        // quiet time after which a pace no longer binds; 8 s brings bursts
-	crowdMemory   = 12 * time.Second        // the same in a crowd: one call is no third of a call a second
-	sendMemory    = 3 * time.Second         // span of send and refusal rates; 1 s takes a clump for a rate
+	paceLapse     = 15 * time.Second        // quiet time after which a pace no longer binds
+	crowdMemory   = 12 * time.Second        // span of send and refusal rates in a large fleet
+	sendMemory    = 3 * time.Second         // span of send and refusal rates
 	refusalStreak = 3                       // refusals in a row without a success: shut rather than full
-	refusalSpan   = 5 * time.Second         // and over at least this long; 1.5 s takes limits for outages
-	longWait      = 2500 * time.Millisecond // a told wait beyond a limit's own: shut; 2 s takes limits for it
+	refusalSpan   = 5 * time.Second         // and over at least this long
+	longWait      = 2500 * time.Millisecond // a told wait beyond a limit's own: shut
 )
 
 // onRefusal takes a refusal of a call sent at sentAt. A listed rate seeds the first cut, as the measured
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,7 +1,7 @@
 // The step of a sender, and the one guard that every call passes (maySend). The interface (settings, events,
 // actions) is in api.go. Decisions stand by subject: the AIMD rate in ratecontrol.go, slow start in
-// slowstart.go, health in health.go and breaker.go, the order of work in scheduling.go, the ends of messages
-// in answers.go.
+// slowstart.go, what one failure means in doubt.go, health in health.go and breaker.go, the order of work in
+// scheduling.go, the ends of messages in answers.go.
 package rules
 
 import (
--- a/rules/scheduling.go
+++ b/rules/scheduling.go
@@ -10,14 +10,14 @@
 // This file owns the order of work: which message goes to which endpoint next.
 
 const (
-	laneShare   = 0.4                    // of the slots that one lane may fill; 0.6 is even, all of them worse
+	laneShare   = 0.4                    // of the slots that one lane may fill
 	illShare    = 0.2                    // of the slots
 	lingerPart  = 4                      // of its aim, a message waits for others to share a call: 1/4
 	minHorizon  = 250 * time.Millisecond // look-ahead for worth lost by waiting
-	maxHorizon  = 3 * time.Second        // and at most: later losses count little; 10 s is worse in backlogs
+	maxHorizon  = 3 * time.Second        // and at most: later losses count little
 	slack       = 1e-14                  // of a worth, that rounding may move a gain
-	baseUrgency = 0.05                   // weight of a message's whole worth; 0.3 loses on even falls
-	handshake   = 100 * time.Millisecond // latency that a connection likely open saves; 250 ms is even
+	baseUrgency = 0.05                   // weight of a message's whole worth
+	handshake   = 100 * time.Millisecond // latency that a connection likely open saves
 	tollTime    = 20.0                   // seconds of latency that a route's toll of 1 outweighs
 	perPlace    = 4                      // messages for each connection to a full table; it takes three calls
 )
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -10,30 +9,27 @@
 // check, admitted, stands before every call: first tries, retries, probes, backlog and what an earlier
 // process left.
 //
-// Invariant: whatever the number of senders, the demand, the age of a process and the kind and length of an
-// outage, the calls that senders which saw the outage make in a fall window have a mean of at most the part
-// of the budget that budgetPart gives. It holds as a sender's share never sums to more than the capacity
-// over the fleet (capacityShare), as a share is spent evenly from a random phase (phase), and as a sender in
-// doubt has one call out at a time (doubtful). docs/design.md derives it and says what senders that saw
-// nothing may add.
+// Informed is a sender that made a call before the end of an outage and saw it fail, be refused, or go
+// unanswered until it was given up. Invariant: whatever the number of senders, the demand, the age of a
+// process and the kind and length of an outage, the calls that informed senders make in a fall window have a
+// mean of at most the part of the budget that budgetPart gives. It holds as shares never sum to more than
+// the capacity over the fleet (capacityShare), as a share is spent evenly from a random phase (phase), and as
+// a single failure brings its sender under this share as soon as it is not followed up at once (doubt.go).
+// docs/design.md derives it and says what senders that saw nothing may add.
 const (
-	retryPause    = 5 * time.Millisecond   // for each sender beyond a few: they must not retry at once
-	maxRetryPause = 200 * time.Millisecond // longer ones bring the first retries of an outage to its end
-	elsewhere     = 8                      // times as long while another endpoint of the destination serves
-	leastPart     = 0.3                    // calls a second of a cold budget, for any sender of a few
-
-	soloSenders  = 7                      // up to so many see enough each to tell an outage by themselves
-	fewSenders   = 12                     // up to so many share connections and limits with no care for others
-	manySenders  = 12                     // from so many on, one sign of an outage is taken for one
-	roughRate    = 1.1                    // a listed rate that is not exact may be so many times the true one
-	brokenPart   = 0.67                   // of the calls of a fall: the rule is broken from here on
-	usualLoad    = 0.85                   // of its capacity that an endpoint delivers in good times, at most
-	longestPrior = 30.0                   // seconds in which a sender has a message, if it knows no better
-	unheardPart  = 0.25                   // of the demand, where nothing is listed or delivered yet
-	followUp     = 100 * time.Millisecond // from the end of a pause; a failure not followed up counts as two
-	chanceRoots  = 2.0                    // roots of the mean kept free for chance; see budgetPart
-	foundPart    = 0.8                    // of the time between two probes that counts as warm-up at once
-	youngDoubt   = 8 * time.Second        // added to an outage's age: others may have seen it so much longer
+	leastPart = 0.3 // calls a second of a cold budget, for any sender of a few
+
+	soloSenders  = 7               // up to so many see enough each to tell an outage by themselves
+	fewSenders   = 12              // up to so many share connections and limits with no care for others
+	manySenders  = 12              // from so many on, one sign of an outage is taken for one
+	roughRate    = 1.1             // a listed rate that is not exact may be so many times the true one
+	brokenPart   = 0.67            // of the calls of a fall: the rule is broken from here on
+	usualLoad    = 0.85            // of its capacity that an endpoint delivers in good times, at most
+	longestPrior = 30.0            // seconds in which a sender has a message, if it knows no better
+	unheardPart  = 0.25            // of the demand, where nothing is listed or delivered yet
+	chanceRoots  = 2.0             // roots of the mean kept free for chance; see budgetPart
+	foundPart    = 0.8             // of the time between two probes that counts as warm-up at once
+	youngDoubt   = 8 * time.Second // added to an outage's age: others may have seen it so much longer
 )
 
 // caution is how far one sign of trouble counts as an outage: not at all with few senders, wholly with many.
@@ -48,104 +44,6 @@
 	return caution > 0 && s.rng.Float64() < caution
 }
 
-// pause is how long a destination's failed endpoints are left alone while it is in doubt whether they are
-// down.
-func (s *Sender) pause(ep *endpoint) time.Duration {
-	pause := min(retryPause*time.Duration(max(s.set.Senders-fewSenders, 0)), maxRetryPause)
-	if slices.ContainsFunc(ep.dest.endpoints, func(o *endpoint) bool { return o.listed && o.fails == 0 }) {
-		pause *= elsewhere
-	}
-	return seconds(pause.Seconds() * (0.5 + s.rng.Float64()))
-}
-
-// doubtful tells whether an endpoint that failed has a call out whose outcome will tell more: others wait
-// for it. Guards against a backlog that leaves at once when a pause ends; where answers are slow it is late.
-func (s *Sender) doubtful(ep *endpoint) bool {
-	most := max(1, int((1-s.caution())*float64(s.set.Slots)))
-	return most < s.set.Slots && ep.fails > 0 && ep.health == healthy && len(ep.calls) >= most
-}
-
-// endDoubts takes endpoints for out whose last word is a failure that no call has followed in time. A brief
-// pause spreads the calls that follow failures as they come; those that had to wait, for a slot or for a
-// message, would leave many senders in one moment, as slots are freed by what ends for all of them at once.
-func (s *Sender) endDoubts() {
-	if s.caution() == 0 {
-		return
-	}
-	for _, d := range s.waiting {
-		for _, ep := range d.endpoints {
-			late := ep.fails > 0 && ep.health == healthy && s.now > d.retryAt+followUp && len(ep.calls) == 0
-			if late && s.alone(ep) && s.cautious() {
-				s.suspend(ep, TimedOut, CauseFailures)
-			}
-		}
-	}
-}
-
-// outlastedDoubt tells whether an answer to a call ends a doubt that is too old for a chance failure, or one
-// on slow start: the endpoint may be cold.
-func (s *Sender) outlastedDoubt(ep *endpoint, sent time.Duration) bool {
-	if ep.fails == 0 || sent <= ep.failedAt || ep.health == probation || !s.cautious() {
-		return false
-	}
-	return ep.health == ramping || sent-ep.failing >= briefTrouble && s.alone(ep)
-}
-
-// beginAnew begins the slow start that follows such a doubt.
-func (s *Sender) beginAnew(ep *endpoint, sent time.Duration) {
-	if ep.health == healthy {
-		ep.base, ep.symptom = s.deliveredBefore(ep), TimedOut
-	}
-	ep.charged = s.now
-	s.setHealth(ep, ramping, max(ep.since, s.returned(ep, sent)), CauseAnswered)
-}
-
-// copyFailures gives a new endpoint its destination's failures and state, or the whole backlog goes there at
-// once.
-func (s *Sender) copyFailures(ep *endpoint) {
-	if s.set.Senders <= fewSenders {
-		return
-	}
-	for _, other := range ep.dest.endpoints {
-		if other.lane != ep.lane || other == ep {
-			continue
-		}
-		ep.fails = max(ep.fails, other.fails)
-		if other.health != healthy && ep.health == healthy && !serves(ep.dest, ep) && s.cautious() {
-			ep.symptom, ep.failing = other.symptom, other.failing
-			s.setHealth(ep, other.health, other.since, CauseInherited)
-			ep.charged = s.phase(ep)
-		}
-	}
-}
-
-// inTrouble tells whether a message's attempts before this process speak of an outage.
-func (b Before) inTrouble() bool { return b.Failed > 0 || b.MayRun && b.Ago > firstLate }
-
-// serves tells whether a destination has an endpoint, other than this one, that is well as far as known.
-func serves(d *destination, but *endpoint) bool {
-	return slices.ContainsFunc(d.endpoints, func(o *endpoint) bool {
-		return o != but && o.listed && o.health == healthy && o.fails == 0
-	})
-}
-
-// alone tells whether no other endpoint vouches for an endpoint's destination. Else it may just be gone.
-func (s *Sender) alone(ep *endpoint) bool { return s.kind(ep).RoutesApart || !serves(ep.dest, ep) }
-
-// restoreFailures takes over an earlier process's failures at a destination, or a fleet that restarts during
-// an outage sends all that it owes as it ends; one may have gone unheard, and a call that was out for long
-// may have hung. Too careful where single attempts often fail.
-func (s *Sender) restoreFailures(a Arrived) {
-	d := s.destination(a.Destination)
-	for _, ep := range d.endpoints {
-		fails := min(max(a.Before.Failed, 2), failStreak)
-		if s.set.Senders > fewSenders && fails > ep.fails {
-			ep.fails, ep.failing = fails, s.now
-			d.retryAt = max(d.retryAt, s.now+s.pause(ep))
-		}
-	}
-}
-
 // restore takes over an outage that an earlier process had seen: it may last, or the endpoint may be cold. A
 // few senders find out by themselves what holds now.
 func (s *Sender) restore(e Remembered) {
