--- a/rules/doubt.go
+++ b/rules/doubt.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// This file owns doubt: what a sender makes of an endpoint whose last word is a failure, as long as it is not
-// taken for out. Few senders go on as if nothing were; of many, each waits briefly and lets one call find out.
-// Doubt ends by an answer to a later call or by taking the endpoint for out. It must never let many senders go
-// on in one moment.
+// This file owns doubt: what a sender makes of an endpoint whose last word is a failure, as long as it is
+// not taken for out. Few senders go on as if nothing were; of many, each waits briefly and lets one call find
+// out. Doubt ends by an answer to a later call or by taking the endpoint for out. It must never let many
+// senders go on in one moment.
 const (
 	retryPause    = 5 * time.Millisecond   // for each sender beyond a few: they must not retry at once
 	maxRetryPause = 200 * time.Millisecond // longer ones bring the first retries of an outage to its end
