--- a/cmd/eiderhaven/endings_test.go
+++ b/cmd/eiderhaven/endings_test.go
@@ -106,7 +106,17 @@
 // Idle clients that fill their part of the descriptors while discovery is down leave the rest what it needs: with as many
 // descriptors as the configuration allows, 32 at the least, discovery is heard when it is back, messages are taken on, sent, and told
 // of, and nothing fails for want of one.
-func TestIdleClientsLeaveDescriptors(t *testing.T) {
+func TestIdleClientsLeaveDescriptors(t *testing.T) { idleClientsLeaveDescriptors(t, "") }
+
+// TestDescriptorsHandedDownAreCounted plays the same for a sender whose starter left four descriptors open to it. It falls:
+// ownFiles counts what a sender opens itself, so clients are given four descriptors too many, and the last of them or a call
+// finds none ("too many open files").
+func TestDescriptorsHandedDownAreCounted(t *testing.T) {
+	idleClientsLeaveDescriptors(t, "exec 6</dev/null 7</dev/null 8</dev/null 9</dev/null; ")
+}
+
+// idleClientsLeaveDescriptors starts a sender with few descriptors, after a shell command in its starter.
+func idleClientsLeaveDescriptors(t *testing.T, before string) {
 	ep := newSilentEndpoint(t)
 	disc, err := platform.NewDiscovery("127.0.0.1:0")
 	if err != nil {
@@ -116,7 +126,7 @@
 	p := placeAt(t, disc)
 	p.configure(func(c map[string]any) { c["limits"].(map[string]any)["sockets"] = fewSockets })
 	disc.Mute(true)
-	proc := p.launchBy("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0"`, fewSockets), os.Args[0])
+	proc := p.launchBy("/bin/sh", "-c", fmt.Sprintf(`%sulimit -n %d; exec "$0"`, before, fewSockets), os.Args[0])
 	for range 100 { // each has been served once and rests
 		nc, err := net.Dial("tcp", p.listen)
 		if err != nil {
