--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1661,7 +1661,9 @@
 		want     float64 // calls a second, before the cuts
 	}{{"rough", false, 2 * soloSenders, 0, 1}, {"exact", true, 2 * soloSenders, 0, 2}, {"little", true, 0.02 * soloSenders, 5, leastPart},
 		{"none listed", true, 0, 5, leastPart}, {"none listed, seldom", true, 0, 1, 1 / (0.8 * soloSenders)}} { // all may make two calls a window
-		b := newBench(t, func(s *Settings) { s.Senders, s.RatesListed, s.RatesExact, s.OverloadFactor = soloSenders, true, c.exact, 4 },
+		b := newBench(t, func(s *Settings) {
+			s.Senders, s.RatesListed, s.RatesExact, s.OverloadFactor = soloSenders, true, c.exact, 4
+		},
 			Entry{Endpoint: 11, Destination: 1, ListedRate: c.listed})
 		for range c.arrivals {
 			b.s.destination(1).wanted.add(b.now, deliveredMemory, 1)
