--- a/cmd/eiderlab/rig.go
+++ b/cmd/eiderlab/rig.go
@@ -57,11 +57,11 @@
 			defer func() { fmt.Println(margin.Summarize(margins)) }()
 			for range seeds {
 				r, err := rig.Run(c.Context(), p, s, o)
-				if err != nil {
-					return err
+				if r != nil {
+					margins = append(margins, r.Margins...)
+					err = errors.Join(err, showRig(r, o.Keep))
 				}
-				margins = append(margins, r.Margins...)
-				if err := showRig(r, o.Keep); err != nil {
+				if err != nil {
 					return err
 				}
 				if len(r.Breaks) > 0 {
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"eiderhaven/lab/scale"
+	"eiderhaven/lab/scenario"
 )
 
 var buildOnce = sync.OnceValues(func() (string, error) {
@@ -102,13 +103,18 @@
 	s.Senders.Count = 5
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	p.Draw.Faults = 0
+	p.Faults = []scenario.Trouble{{Kind: "crash", At: 1, For: 2, Part: 0.1, By: "destination"}} // back at once
 	var pids []int
 	var folder string
-	_, err = Run(ctx, p, s, Options{Program: program, Seed: 1, started: func(pid int, dir string) {
+	r, err := Run(ctx, p, s, Options{Program: program, Seed: 1, started: func(pid int, dir string) {
 		if pids, folder = append(pids, pid), dir; len(pids) == 5 {
 			time.AfterFunc(time.Second, cancel)
 		}
 	}})
+	if r == nil || r.Outages != 4 || len(r.Margins) != 4 {
+		t.Errorf("%+v, want the margins of four returns", r)
+	}
 	if !errors.Is(err, context.Canceled) || len(pids) != 5 {
 		t.Fatalf("%v, %d processes", err, len(pids))
 	}
--- a/lab/rig/run.go
+++ b/lab/rig/run.go
@@ -65,7 +65,8 @@
 	restful []net.Conn // connections that clients hold and use for nothing
 }
 
-// Run plays a plan with a seed. It ends every process that it started, also when the context ends, and leaves no folder.
+// Run plays a plan with a seed. It ends every process that it started, also when the context ends, and leaves no folder. A run
+// that the context ended after its start has a result without a verdict beside the error.
 func Run(ctx context.Context, p *Plan, s *scenario.Scenario, o Options) (*Result, error) {
 	if o.Log == nil {
 		o.Log = func(string) {}
@@ -176,7 +177,7 @@
 	loaded := load.Run(ctx)
 	signalling.Wait()
 	if err := f.settle(ctx); err != nil {
-		return nil, err
+		return f.unfinished(), err
 	}
 	result := f.judge(loaded)
 	return result, f.keep(result)
@@ -252,6 +253,13 @@
 	}
 }
 
+// unfinished is what is known of a run that was interrupted: no verdict, and the margins of the returns so far.
+func (f *fleet) unfinished() *Result {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	return &Result{Seed: f.o.Seed, Outages: len(f.w.all), Margins: f.w.margins()}
+}
+
 // settle waits until the time of every message that was taken on is up.
 func (f *fleet) settle(ctx context.Context) error {
 	f.mu.Lock()
