--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -204,12 +204,10 @@
 		}
 	}
 	// In an event too, where the row is the event's.
-	var pids []int
 	rows, err = play(t, t.Context(), tiny(EventsAxis), Options{Program: daemon(t), started: func(s *sender) {
 		if s.n == 1 {
 			time.AfterFunc(700*time.Millisecond, func() { syscall.Kill(s.pid(), syscall.SIGKILL) })
 		}
-		pids = append(pids, s.pid())
 	}}, machine)
 	if r := one(rows, EventsAxis, 0)["cut_off"]; err != nil || !strings.Contains(r.Failed, "the process died") || r.Verdict != "not judged" {
 		t.Errorf("%v, %+v", err, r)
