--- a/lab/live/receivers.go
+++ b/lab/live/receivers.go
@@ -77,6 +77,10 @@
 type FleetOptions struct {
 	Senders int
 	Watcher Watcher // may be nil
+
+	// AddressOf returns the address that a sender's discovery lists for an endpoint which listens at addr, for example
+	// that of a proxy. Nil lists addr itself.
+	AddressOf func(sender int, addr string) (string, error)
 }
 
 // Receivers play a scenario's receivers and its registry on sockets.
@@ -90,7 +94,8 @@
 	senderCount int
 	listings    map[rules.EndpointID]platform.Entry // without the address, which differs by sender
 	addrs       map[rules.EndpointID][]string       // by sender
-	endpointIDs []rules.EndpointID                  // in the order of the lists
+	addressOf   func(sender int, addr string) (string, error)
+	endpointIDs []rules.EndpointID // in the order of the lists
 	wg          sync.WaitGroup
 	log         func(string)
 
@@ -125,7 +130,7 @@
 			n, o.Senders, maxDestinations, maxListeners)
 	}
 	r := &Receivers{
-		scenario: s, loop: NewLoop(), senderCount: o.Senders, watcher: o.Watcher, log: log,
+		scenario: s, loop: NewLoop(), senderCount: o.Senders, watcher: o.Watcher, log: log, addressOf: o.AddressOf,
 		listings: map[rules.EndpointID]platform.Entry{}, addrs: map[rules.EndpointID][]string{},
 		tookEffect: map[string]bool{}, conns: map[net.Conn]bool{},
 	}
@@ -201,7 +206,11 @@
 		r.mu.Lock()
 		r.listeners = append(r.listeners, ln)
 		r.mu.Unlock()
-		r.addrs[ep.ID] = append(r.addrs[ep.ID], ln.Addr().String())
+		addr, err := r.listedAddress(sender, ln.Addr().String())
+		if err != nil {
+			return fmt.Errorf("endpoint %d: %w", ep.ID, err)
+		}
+		r.addrs[ep.ID] = append(r.addrs[ep.ID], addr)
 		r.wg.Go(func() { r.acceptConnections(ln, ep, sender) })
 	}
 	listing := platform.Entry{
@@ -219,6 +228,14 @@
 	return nil
 }
 
+// listedAddress returns the address that a sender's discovery lists for an endpoint which listens at addr.
+func (r *Receivers) listedAddress(sender int, addr string) (string, error) {
+	if r.addressOf == nil {
+		return addr, nil
+	}
+	return r.addressOf(sender, addr)
+}
+
 // ZoneName returns the name of a zone in configurations and lists.
 func ZoneName(zone int) string { return "z" + strconv.Itoa(zone) }
 
--- a/lab/receiver/receiver.go
+++ b/lab/receiver/receiver.go
@@ -84,6 +84,7 @@
 	Hanging          int     // calls are accepted and never answered
 	RefusingCalls    int     // all calls are refused
 	ErrorShare       float64 // share of calls that fail immediately
+	RefusedShare     float64 // share of calls that are refused, whatever the load
 	LostAnswerShare  float64 // share of answers that are lost
 	Slowdown         float64 // service times are multiplied by it
 }
@@ -154,6 +155,10 @@
 		c.Done(model.Outcome{Result: rules.Errored, Report: ep.limitReport(now)})
 		return
 	}
+	if ep.RefusedShare > 0 && ep.rng.Float64() < ep.RefusedShare {
+		ep.refuse(c, 0, false)
+		return
+	}
 	if u.limit != nil {
 		if ok, wait := u.limit.admit(now, u.CapacityShare(now)); !ok {
 			ep.refuse(c, wait, true)
--- a/lab/rig/daemon.go
+++ b/lab/rig/daemon.go
@@ -32,11 +32,12 @@
 // daemon is one sender. When its process is killed and started again, the new process has the same name, address and
 // state directory.
 type daemon struct {
-	index   int
-	program string
-	dir     string
-	listen  string
-	starter *process.Starter
+	index      int
+	program    string
+	dir        string
+	listen     string
+	clientAddr string // where clients connect: listen, or a proxy before it
+	starter    *process.Starter
 
 	restarting sync.Mutex // held from the signal until the next process is ready
 
--- a/lab/rig/plan.go
+++ b/lab/rig/plan.go
@@ -31,6 +31,7 @@
 	Set       map[string]string  `toml:"set"`      // keys of the scenario that the plan overrides
 	Faults    []scenario.Trouble `toml:"fault"`    // troubles of receivers and clients
 	Signals   []Signal           `toml:"signal"`
+	Proxies   []Proxy            `toml:"proxy"`
 	Draw      Draw               `toml:"draw"` // what each seed draws in addition to Faults and Signals
 }
 
@@ -143,6 +144,9 @@
 			return planError(key+".part", "%v: expected more than 0 and at most 1", f.Part)
 		}
 	}
+	if err := checkProxies(p.Proxies); err != nil {
+		return err
+	}
 	for i, x := range p.Signals {
 		if err := x.check(fmt.Sprintf("signal.%d", i)); err != nil {
 			return err
--- a/lab/rig/run.go
+++ b/lab/rig/run.go
@@ -46,6 +46,7 @@
 	Submitted        int            `json:"handed"`
 	Signals          map[string]int `json:"signals"` // by kind
 	ReceiverCounts   live.Counts    `json:"receivers"`
+	ProxyCounts      ProxyCounts    `json:"proxies"`
 	ClientDelayP99Ms float64        `json:"load_late_p99_ms"` // from planned to started requests; large on a busy machine
 	ReceiverLagMs    float64        `json:"receivers_lag_ms"` // longest wait of a call for the receivers; likewise
 }
@@ -62,6 +63,7 @@
 	daemons   []*daemon
 	signals   []Signal
 	idleConns []net.Conn // held open without being used
+	proxies   *proxySet
 
 	mu              sync.Mutex
 	requests        []live.RequestRecord
@@ -106,7 +108,8 @@
 // start listens for the receivers and starts all senders.
 func (f *fleet) start(ctx context.Context) (err error) {
 	n := f.scenario.Senders.Count
-	options := live.FleetOptions{Senders: n, Watcher: f.watcher}
+	f.proxies = newProxySet(f.plan.Proxies, f.opts.Seed)
+	options := live.FleetOptions{Senders: n, Watcher: f.watcher, AddressOf: f.proxies.beforeEndpoint}
 	f.receivers, err = live.NewFleetReceivers(f.scenario, f.opts.Seed, "127.0.0.1:0", options, f.opts.Log)
 	if err != nil {
 		return err
@@ -148,10 +151,17 @@
 		starter: starter,
 	}
 	seed := f.opts.Seed<<16 + uint64(i) + 1 // differs between all senders of all seeds
-	text, err := live.SeededConfig(f.scenario, name, d.listen, f.receivers.DiscoveryAddrOf(i), seed)
+	discovery, err := f.proxies.before(beforeDiscovery, i, f.receivers.DiscoveryAddrOf(i))
 	if err != nil {
 		return nil, err
 	}
+	text, err := live.SeededConfig(f.scenario, name, d.listen, discovery, seed)
+	if err != nil {
+		return nil, err
+	}
+	if d.clientAddr, err = f.proxies.before(beforeSenders, i, d.listen); err != nil {
+		return nil, err
+	}
 	if err := os.MkdirAll(filepath.Join(d.dir, "state"), 0o755); err != nil {
 		return nil, err
 	}
@@ -168,6 +178,7 @@
 		wg.Go(d.kill)
 	}
 	wg.Wait()
+	f.proxies.close()
 }
 
 // play submits the scenario's messages and sends the signals, waits until every accepted message is due, and evaluates
@@ -175,7 +186,7 @@
 func (f *fleet) play(ctx context.Context) (*Result, error) {
 	var targets []string
 	for _, d := range f.daemons {
-		targets = append(targets, d.listen)
+		targets = append(targets, d.clientAddr)
 	}
 	load, err := live.NewLoad(f.scenario, live.LoadOptions{
 		Targets:   targets,
@@ -337,6 +348,7 @@
 		Submitted:        len(f.requests),
 		Signals:          f.signalsSent,
 		ReceiverCounts:   f.receivers.Counts(),
+		ProxyCounts:      f.proxies.playedFaults(),
 		ClientDelayP99Ms: load.StartDelayP99,
 		ReceiverLagMs:    float64(f.receivers.MaxLag().Microseconds()) / 1000,
 	}
