outbound: log and count which connection carried a call and why it closed

The logs of the incident could not tell which connection carried a call, how often it had been used, how old its last answer was, what came unasked, and why it was closed. Each call's response and each close now has a debug line with these, the first unasked bytes a line at info, and the counters have first and later uses, unasked bytes and closes by reason.

No behaviour changes.

--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -108,6 +108,7 @@
 		KeepAlive:      cfg.settings.KeepAlive,
 		MaxConns:       callConns,
 		Finish:         func(c *exchange.Call, r exchange.Result) { s.exchange.Finish(c, r) },
+		Log:            log,
 	})
 	s.exchange = exchange.New(exchange.Config{
 		Settings:       cfg.settings,
@@ -316,7 +317,7 @@
 // logCounters logs the counters of all parts.
 func (s *service) logCounters() {
 	in := &s.intake.Counts
-	s.log.Info("counters", "exchange", s.exchange.Counts(),
+	s.log.Info("counters", "exchange", s.exchange.Counts(), "connections", &s.pool.Counts,
 		slog.Group("intake", "requests", in.Requests.Load(), "health", in.HealthChecks.Load(),
 			"submitted", in.Submitted.Load(), "rejected", in.Rejected.Load(), "gone", in.ClientsGone.Load()),
 		slog.Group("discovery", "lists", s.registry.Lists.Load(), "failed", s.registry.Failed.Load(),
