A response on a reused connection is settled before it is believed

Callers saw payments run twice and messages lost: HTTP/1.1 matches responses by order alone, so a second copy of a response, written while the next call was out, was taken for that call's, and every later one on the connection was its predecessor's.

Now a response proves itself only on a first use, by naming its messages, or by closing the connection. Any other is unconfirmed (internal/outbound/confirm.go) until nothing more came for twice the longest recent response time (0.1 to 1 s), the time in which its own response would have come. If something comes, or the connection ends, each such response counts only where the one behind it says the same. Meanwhile a message that is over by it stays in the ledger and is given back to the module, or gets its notice at its deadline; a message that may not be repeated is neither sent again nor refused (rules.AttemptConfirmed). An endpoint that sent more than was asked for gets one call a connection for 10 minutes. In a large fleet before scarce connections the last call says Connection: close; the end settles it at once.

--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -108,7 +108,10 @@
 		KeepAlive:      cfg.settings.KeepAlive,
 		MaxConns:       callConns,
 		Finish:         func(c *exchange.Call, r exchange.Result) { s.exchange.Finish(c, r) },
-		Log:            log,
+		Confirm: func(c *exchange.Call, confirmed bool, retryAfter time.Duration) {
+			s.exchange.Confirm(c, confirmed, retryAfter)
+		},
+		Log: log,
 	})
 	s.exchange = exchange.New(exchange.Config{
 		Settings:       cfg.settings,
--- a/internal/exchange/counts.go
+++ b/internal/exchange/counts.go
@@ -18,6 +18,8 @@
 	Submitted, Unknown, Duplicate, Refused, Failed, Accepted, Recovered int
 	Delivered, Bounced, Dead, Withdrawn, FinishedElsewhere              int
 	Held, InFlight                                                      int // InFlight counts attempts, not calls
+	Unconfirmed                                                         int // of Held: over by an unconfirmed response
+	Contradicted                                                        int // attempts whose response was perhaps another call's
 	Calls, Recalled, Attempts                                           int
 
 	Outcomes                       [rules.NotSent + 1]int  // attempts, by outcome
@@ -51,7 +53,8 @@
 func (x *Exchange) snapshot() Counts {
 	c := x.counts
 	c.Ended = maps.Clone(x.counts.Ended)
-	c.Held = len(x.held)
+	c.Unconfirmed = len(x.unconfirmed)
+	c.Held = len(x.held) + c.Unconfirmed
 	for _, call := range x.callsInFlight {
 		c.InFlight += len(call.attempts)
 	}
@@ -67,7 +70,7 @@
 		slog.Int("delivered", c.Delivered), slog.Int("bounced", c.Bounced), slog.Int("dead", c.Dead),
 		slog.Int("withdrawn", c.Withdrawn), slog.Int("elsewhere", c.FinishedElsewhere), slog.Int("held", c.Held),
 		slog.Int("calls", c.Calls), slog.Int("recalled", c.Recalled), slog.Int("attempts", c.Attempts),
-		slog.Int("out", c.InFlight),
+		slog.Int("out", c.InFlight), slog.Int("unconfirmed", c.Unconfirmed), slog.Int("contradicted", c.Contradicted),
 	}
 	for outcome, name := range outcomeNames {
 		attrs = append(attrs, slog.Int(name, c.Outcomes[outcome]))
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -39,10 +39,17 @@
 
 // Call is one call to an endpoint. The endpoint side makes it and passes its result to Exchange.Finish.
 type Call struct {
-	To       Peer
-	Items    []*message.Message
-	Timeout  time.Duration // how long the sender waits for the answer
-	WriteBy  time.Time     // the last byte must be written by then, or not at all; zero for no limit
+	To      Peer
+	Items   []*message.Message
+	Timeout time.Duration // how long the sender waits for the answer
+	WriteBy time.Time     // the last byte must be written by then, or not at all; zero for no limit
+
+	// ConfirmSoon means that a refusal holds a message up until it is confirmed.
+	ConfirmSoon bool
+
+	// LastUse means that the connection is to be closed after the call, unless it carries no other.
+	LastUse bool
+
 	inFlight *callInFlight
 }
 
@@ -50,6 +57,10 @@
 type Result struct {
 	Written bool // the last byte of the call was written, so it may have run unless the outcome rules that out
 	Items   []ItemResult
+
+	// Unconfirmed means that the response came on a connection that had carried calls before and does not name this call:
+	// it may belong to an earlier one. Exchange.Confirm follows.
+	Unconfirmed bool
 }
 
 // ItemResult is how a call ended for one of its messages.
@@ -130,24 +141,29 @@
 	tenants   map[string]int // index in the settings, by name
 
 	sender        *rules.Sender
-	held          map[string]*heldMessage // by ID
-	callsInFlight []*callInFlight         // oldest first
+	held          map[string]*heldMessage     // by ID
+	unconfirmed   map[string]*unconfirmedItem // messages that are over by a response that may be another call's, by ID
+	callsInFlight []*callInFlight             // oldest first
 	directory     *directory
 	recentIDs     recentIDs
 	events        []rules.Event  // for the next step
 	unanswered    []*heldMessage // accepted since the last step, their clients not answered yet
 	wakeAt        time.Duration  // when the module wants to be woken, negative for not at all
 	firstEventAt  time.Duration  // when the oldest of events was noticed, negative if there are none
-	lastStep      time.Duration
-	counts        Counts
-	stopping      bool // the last step is in progress
+
+	firstUnconfirmedDue time.Duration // no message in unconfirmed is due before; negative if there are none
+
+	lastStep time.Duration
+	counts   Counts
+	stopping bool // the last step is in progress
 }
 
 // heldMessage is a message between its acceptance and its end.
 type heldMessage struct {
 	message      *message.Message
 	attempts     int
-	mayHaveRunAt time.Time   // when an earlier process made the attempt that may have run, if there was one
+	mayHaveRunAt time.Time // when the earliest attempt that may have run was made; zero if there was none
+	mayHaveRunOn rules.EndpointID
 	reply        chan Answer // nil once answered
 }
 
@@ -163,11 +179,14 @@
 		tenants:      map[string]int{},
 		sender:       rules.New(*cfg.Settings),
 		held:         map[string]*heldMessage{},
+		unconfirmed:  map[string]*unconfirmedItem{},
 		directory:    newDirectory(),
 		counts:       Counts{Ended: map[rules.EndReason]int{}},
 		recentIDs:    newRecentIDs(cfg.Settings.Classes),
 		wakeAt:       -1,
 		firstEventAt: -1,
+
+		firstUnconfirmedDue: -1,
 	}
 	for i, name := range cfg.Classes {
 		x.classes[name] = i
@@ -218,8 +237,8 @@
 	}
 	prior := rules.PriorAttempts{Count: p.Attempts, Failed: p.FailedAttempts, MayHaveRun: p.MayHaveRun}
 	if p.MayHaveRun {
-		h.mayHaveRunAt = p.MayHaveRunAt
-		prior.Endpoint = x.directory.idByName(p.MayHaveRunHost)
+		h.mayHaveRunAt, h.mayHaveRunOn = p.MayHaveRunAt, x.directory.idByName(p.MayHaveRunHost)
+		prior.Endpoint = h.mayHaveRunOn
 	}
 	x.events = append(x.events, rules.Arrived{
 		ID:          rules.MessageID(m.ID),
@@ -286,6 +305,10 @@
 			x.finish(h)
 			x.recallCall(hasMessage(h.message)) // nothing may reach an endpoint from now on
 			x.events = append(x.events, rules.Withdrawn{ID: rules.MessageID(id)})
+		} else if item := x.unconfirmed[id]; item != nil {
+			x.counts.Withdrawn++
+			delete(x.unconfirmed, id)
+			x.finish(item.held)
 		}
 	})
 }
@@ -424,6 +447,9 @@
 // nextTimer returns the earliest wake-up or call timeout, or a negative time if there is none.
 func (x *Exchange) nextTimer() time.Duration {
 	due := x.wakeAt
+	if x.firstUnconfirmedDue >= 0 && (due < 0 || x.firstUnconfirmedDue < due) {
+		due = x.firstUnconfirmedDue
+	}
 	for _, call := range x.callsInFlight {
 		if !call.abandoned && (due < 0 || call.timeoutAt < due) {
 			due = call.timeoutAt
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -28,6 +28,7 @@
 	timeoutAt   time.Duration // longest timeout of its attempts, but no later than its messages' first deadline
 	abandoned   bool
 	abandonedAs rules.Outcome // outcome of the call if it was abandoned after it was written
+	unconfirmed []*unconfirmedItem
 }
 
 // attempt is one message's part in one call.
@@ -61,7 +62,7 @@
 		x.counts.Unknown++
 		reply <- Answer{Verdict: Unknown}
 		return
-	case x.held[m.ID] != nil || x.recentIDs.contains(m.ID, time.Now()):
+	case x.held[m.ID] != nil || x.unconfirmed[m.ID] != nil || x.recentIDs.contains(m.ID, time.Now()):
 		x.counts.Duplicate++
 		reply <- Answer{Verdict: Duplicate}
 		return
@@ -96,6 +97,7 @@
 func (x *Exchange) step() {
 	now := x.now()
 	x.expireCalls(now)
+	x.expireUnconfirmed(now)
 	if x.wakeAt >= 0 && x.wakeAt <= now {
 		x.wakeAt = -1
 		x.events = append(x.events, rules.WakeUp{})
@@ -254,6 +256,8 @@
 			calls = append(calls, call)
 		}
 		call.attempts = append(call.attempts, a)
+		call.request.LastUse = s.LastUse
+		call.request.ConfirmSoon = call.request.ConfirmSoon || !x.repeatIsHarmless(h)
 		call.request.Timeout = max(call.request.Timeout, timeout)
 		by := x.wallTime(now + s.WriteWithin)
 		if s.WriteWithin > 0 && (call.request.WriteBy.IsZero() || by.Before(call.request.WriteBy)) {
@@ -294,7 +298,7 @@
 	}
 	if misrouted || x.countRecordError(x.cfg.Ledger.RecordCall(ids, numbers, host.Name, time.Now())) != nil {
 		for i := range call.attempts {
-			x.onAttemptEnded(call, i, ItemResult{Outcome: rules.NotSent})
+			x.onAttemptEnded(call, i, ItemResult{Outcome: rules.NotSent}, false)
 		}
 		return
 	}
@@ -376,36 +380,41 @@
 		default:
 			item.Outcome = rules.NotSent
 		}
-		x.onAttemptEnded(call, i, item)
+		x.onAttemptEnded(call, i, item, r.Unconfirmed)
 	}
 }
 
 // onAttemptEnded counts and records how an attempt ended, ends its message if that is finished, and queues the event
-// for the module.
-func (x *Exchange) onAttemptEnded(call *callInFlight, i int, r ItemResult) {
+// for the module. What an unconfirmed response says only counts as far as it does no harm if it is another call's.
+func (x *Exchange) onAttemptEnded(call *callInFlight, i int, r ItemResult, unconfirmed bool) {
 	a := &call.attempts[i]
 	x.counts.Outcomes[r.Outcome]++
 	h := x.held[a.message.ID]
-	finished := h == nil
+	ends := r.Outcome == rules.OK || r.Finished
+	unconfirmed = unconfirmed && h != nil && (ends || !r.Outcome.MayHaveRun() && !x.repeatIsHarmless(h))
 	switch {
-	case finished:
-	case r.Outcome == rules.OK:
-		x.counts.Delivered++
-		x.onDelivered(h)
-		finished = true
-	case r.Finished:
-		x.counts.FinishedElsewhere++
+	case h == nil:
+	case ends && x.isDue(h):
+		x.countEnd(r)
+		x.endWhenDue(h, r, unconfirmed)
+	case unconfirmed:
+		x.addUnconfirmed(call, &unconfirmedItem{attempt: *a, held: h, result: r, ends: ends})
+	case ends:
+		x.countEnd(r)
 		x.finish(h)
-		finished = true
 	default:
 		mayHaveRun := r.Outcome.MayHaveRun()
+		if mayHaveRun {
+			h.noteMayHaveRun(x.wallTime(call.sentAt), call.endpoint)
+		}
 		x.countRecordError(x.cfg.Ledger.RecordOutcome(a.message.ID, a.number, mayHaveRun, indicatesFailure(r)))
 	}
+	finished := h == nil || ends
 	x.trace("outcome", func() []any {
 		return []any{
 			"id", a.message.ID, "attempt", a.number, "endpoint", x.directory.host(call.endpoint).Name,
 			"outcome", outcomeNames[r.Outcome], "elapsed", x.now() - call.sentAt,
-			"wait", r.RetryAfter, "over", finished,
+			"wait", r.RetryAfter, "over", finished, "unconfirmed", unconfirmed,
 		}
 	})
 	x.events = append(x.events, rules.AttemptEnded{
@@ -420,23 +429,27 @@
 		ConnectionLimitReached: r.ConnectionLimitReached,
 		Recalled:               r.Recalled,
 		Report:                 r.Report,
+		Unconfirmed:            unconfirmed && !ends,
 	})
 }
 
-// onDelivered ends a message that an endpoint has accepted. If that happened as the message's time ran out, or after
-// it and before the step that would have abandoned the call, the message also gets a notice. The platform counts the
-// time from when the client sent the message, and does not accept an answer that was late by that clock as the
-// message's end; a notice for a message that has ended does no harm. This guards against a message that the sender
-// and the platform each consider ended by the other. It costs a notice, which reports to a client whose answer was
-// just in time that its message may or may not have run.
-func (x *Exchange) onDelivered(h *heldMessage) {
-	if time.Until(h.message.Deadline) > deadlineSlack {
-		x.finish(h)
+// endWhenDue ends a message that is over by the result of a call as its time runs out, or after it and before the step
+// that would have abandoned the call. If an endpoint has accepted it, or the response is unconfirmed, it gets a notice.
+// The platform counts the time from when the client sent the message, and does not accept an answer that was late by
+// that clock as the message's end; a notice for a message that has ended does no harm. This guards against a message
+// that the sender and the platform each consider ended by the other. It costs a notice, which reports to a client whose
+// answer was just in time that its message may or may not have run.
+func (x *Exchange) endWhenDue(h *heldMessage, r ItemResult, unconfirmed bool) {
+	if r.Outcome == rules.OK || unconfirmed {
+		x.notify(h, ledger.Notice{ID: h.message.ID, Dead: true})
 		return
 	}
-	x.notify(h, ledger.Notice{ID: h.message.ID, Dead: true})
+	x.finish(h)
 }
 
+// isDue reports whether the message's time has run out, or does so at once.
+func (x *Exchange) isDue(h *heldMessage) bool { return time.Until(h.message.Deadline) <= deadlineSlack }
+
 // indicatesFailure reports whether a result indicates a fault of the endpoint, and not a rate limit or its connection
 // limit.
 func indicatesFailure(r ItemResult) bool {
--- a/internal/outbound/call.go
+++ b/internal/outbound/call.go
@@ -21,12 +21,22 @@
 	maxKeptBufferBytes = 16 << 10 // a connection keeps no larger buffer for its next call
 )
 
-// appendCall appends the request that makes a call.
-func appendCall(buf []byte, call *exchange.Call) []byte {
+// Status codes of responses that say the most.
+const (
+	statusOK                 = 200
+	statusTooManyRequests    = 429
+	statusServiceUnavailable = 503
+)
+
+// appendCall appends the request that makes a call. closes asks the endpoint to close the connection after it.
+func appendCall(buf []byte, call *exchange.Call, closes bool) []byte {
 	fields := http1.Header{
 		{Name: "Host", Value: call.To.Addr},
 		{Name: "Req-Deadline-Ms", Value: strconv.FormatInt(max(1, call.Timeout.Milliseconds()), 10)},
 	}
+	if closes {
+		fields = append(fields, http1.Field{Name: "Connection", Value: "close"})
+	}
 	if len(call.Items) == 1 {
 		m := call.Items[0]
 		fields = append(fields, http1.Field{Name: "Req-Id", Value: m.ID})
@@ -68,7 +78,8 @@
 // call may have run. It also applies to an invalid or truncated response, whatever its status line says, because a
 // refusal that was not received completely proves nothing; the one exception is a 200 to a call with one message. A
 // retry-after counts as soon as the header was received completely, even if the body is invalid. first reports whether
-// this is the first response on its connection.
+// this is the first response on its connection: on a later one, a 200 that was not received completely proves nothing
+// either, as it may be another call's. named reports that a valid response names each message of a call with several.
 //
 // A 503 that closes a connection with its first response refuses the connection, not the call: the endpoint has reached
 // its limit of connections (the protocol's "too many connections"), and the module is told that no connection could be
@@ -76,28 +87,28 @@
 // connections open. The rule is wrong for an endpoint that closes after every response and refuses the first call
 // because of its load: the module then sees failures where a lower rate would do.
 func itemResults(call *exchange.Call, resp *http1.Response, err error, lost rules.Outcome, first bool) (
-	results []exchange.ItemResult) {
+	results []exchange.ItemResult, named bool) {
 	single := len(call.Items) == 1
 	if resp == nil {
-		return sameResults(call, exchange.ItemResult{Outcome: lost})
+		return sameResults(call, exchange.ItemResult{Outcome: lost}), false
 	}
 	r := exchange.ItemResult{Outcome: lost, RetryAfter: retryAfter(resp.Header)}
 	if err != nil {
-		if single && resp.Status == 200 {
+		if single && first && resp.Status == statusOK {
 			r.Outcome = rules.OK
 		}
-		return sameResults(call, r)
+		return sameResults(call, r), false
 	}
 	r.Report = loadReport(resp.Header)
 	switch resp.Status {
-	case 200:
+	case statusOK:
 		if !single {
 			return batchResults(call, string(resp.Body), r)
 		}
 		r.Outcome = rules.OK
-	case 429:
+	case statusTooManyRequests:
 		r.Outcome = rules.Refused
-	case 503:
+	case statusServiceUnavailable:
 		switch {
 		case resp.Header.Get("Slots-Taken") == "1":
 			r.Outcome, r.NoFreeSlot = rules.NotSent, true
@@ -117,7 +128,7 @@
 			r.Outcome = rules.NotSent
 		}
 	}
-	return sameResults(call, r)
+	return sameResults(call, r), false
 }
 
 // batchItemResult returns the result that a status word stands for in the response to a call with several messages.
@@ -139,30 +150,31 @@
 
 // batchResults reads the response to a call with several messages: a line with ID and status word for each. If a line
 // cannot be read, is missing, or has an ID twice or one that is not in the call, the response is invalid and every
-// message may have run.
-func batchResults(call *exchange.Call, body string, common exchange.ItemResult) []exchange.ItemResult {
+// message may have run; named is then false.
+func batchResults(call *exchange.Call, body string, common exchange.ItemResult) (
+	results []exchange.ItemResult, named bool) {
 	lost := common
 	lost.Outcome = rules.Reset
 	statuses := map[string]string{} // by message ID
 	for line := range strings.Lines(body) {
 		words := strings.Fields(line)
 		if len(words) != 2 || statuses[words[0]] != "" {
-			return sameResults(call, lost)
+			return sameResults(call, lost), false
 		}
 		statuses[words[0]] = words[1]
 	}
-	results := sameResults(call, common)
+	results = sameResults(call, common)
 	for i, m := range call.Items {
 		r, known := batchItemResult(statuses[m.ID])
 		if !known {
-			return sameResults(call, lost)
+			return sameResults(call, lost), false
 		}
 		results[i].Outcome, results[i].Finished = r.Outcome, r.Finished
 	}
 	if len(statuses) != len(call.Items) {
-		return sameResults(call, lost)
+		return sameResults(call, lost), false
 	}
-	return results
+	return results, true
 }
 
 // maxRetryAfter limits the retry-after of an endpoint. A longer one is taken for a mistake of the endpoint, which would
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -28,10 +28,13 @@
 	minHoldBack time.Duration // shortest time for which the last byte of a call is held back, see writeCall
 	idleSince   time.Time     // when it last became idle
 	calls       int           // written so far
+	saidClose   bool          // the latest call asked the endpoint to close the connection
 	lastStatus  int           // of the latest valid response
 	answeredAt  time.Time     // when that came
 	next        *job          // guarded by the pool's lock
-	closeReason closeReason   // while it is idle, guarded by the pool's lock
+
+	confirmation confirmation // while it is idle, guarded by the pool's lock
+	closeReason  closeReason  // while it is idle, guarded by the pool's lock
 }
 
 // used reports whether the connection has carried a call.
@@ -76,44 +79,74 @@
 // and whether the connection can still be used for it.
 func (p *Pool) waitIdle(c *conn, to exchange.Peer) (next *job, usable bool) {
 	c.idleSince = time.Now()
-	c.closeReason = closedForKeepAlive
 	// Close it before the endpoint does, so that no call meets a connection that is being closed.
-	c.nc.SetReadDeadline(c.idleSince.Add(p.cfg.KeepAlive - p.cfg.KeepAlive/keepAliveDivisor))
-	p.mu.Lock()
-	if p.closed || p.openConns > p.cfg.MaxConns {
-		c.closeReason = closedForLimit
-		p.mu.Unlock()
+	keepUntil := c.idleSince.Add(p.cfg.KeepAlive - p.cfg.KeepAlive/keepAliveDivisor)
+	if !p.addIdle(c, to, keepUntil) {
 		return nil, false
 	}
-	p.idle[to] = append(p.idle[to], c)
-	p.mu.Unlock()
-	_, err := c.br.Peek(1)
-	p.mu.Lock()
-	next, c.next = c.next, nil
-	if next == nil {
-		p.removeIdle(to, c)
-	}
-	p.mu.Unlock()
-	idleTimedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	next, err := p.awaitCall(c, to, keepUntil)
 	switch {
-	case err == nil:
-		c.closeReason = closedForUnaskedBytes
-		p.logUnasked(c, to)
-		return next, false
-	case !idleTimedOut:
-		c.closeReason = closedByEndpoint
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		p.onIdleEnd(c, to, err)
 		return next, false
 	case next == nil:
 		return nil, false
 	}
 	// The read that was made to time out may have left bytes or the end of the stream in the kernel. Bytes that are
 	// there before a call is written, such as a duplicate response or garbage after one, must not be taken for its
-	// response. Bytes that arrive later cannot be told from a response.
-	if !socket.ReadWouldBlock(c.nc) {
-		c.closeReason = closedForUnaskedBytes
-		return next, false
+	// response. Bytes that arrive later cannot be told from a response, see confirm.go.
+	return next, p.checkUnread(c, to) && time.Since(c.idleSince) < p.cfg.KeepAlive
+}
+
+// addIdle adds a connection to the idle ones, with a read deadline. It returns false if it must be closed instead.
+func (p *Pool) addIdle(c *conn, to exchange.Peer, keepUntil time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.closed:
+		c.closeReason = closedForShutdown
+	case p.openConns > p.cfg.MaxConns:
+		c.closeReason = closedForLimit
+	case p.distrusts(to):
+		c.closeReason = closedForDistrust
+	default:
+		c.closeReason = closedForKeepAlive
+		c.nc.SetReadDeadline(c.idleDeadline(keepUntil))
+		p.idle[to] = append(p.idle[to], c)
+		return true
+	}
+	return false
+}
+
+// idleDeadline returns until when an idle connection reads: until its responses are confirmed, or its end.
+func (c *conn) idleDeadline(keepUntil time.Time) time.Time {
+	if !c.confirmation.pending() || keepUntil.Before(c.confirmation.dueAt()) {
+		return keepUntil
+	}
+	return c.confirmation.dueAt()
+}
+
+// awaitCall reads on an idle connection until it is given a call, is to be closed or brings something, and confirms its
+// responses meanwhile. It returns the call, nil if there is none, and how the read ended.
+func (p *Pool) awaitCall(c *conn, to exchange.Peer, keepUntil time.Time) (next *job, err error) {
+	for {
+		_, err = c.br.Peek(1)
+		p.mu.Lock()
+		next, c.next = c.next, nil
+		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+		if next != nil || c.closeReason != closedForKeepAlive || !timedOut || !time.Now().Before(keepUntil) {
+			if next == nil {
+				p.removeIdle(to, c)
+			}
+			p.mu.Unlock()
+			return next, err
+		}
+		c.nc.SetReadDeadline(keepUntil)
+		p.mu.Unlock()
+		if socket.ReadWouldBlock(c.nc) { // else the next read returns at once
+			p.confirm(c)
+		}
 	}
-	return next, time.Since(c.idleSince) < p.cfg.KeepAlive
 }
 
 // writeCall writes a call and reports whether its last byte has been written. With holdBack it writes all but the
@@ -149,7 +182,8 @@
 // message's deadline. After an interim response the wait for the next one is not limited. When a call is cancelled,
 // it checks once more for a response that has arrived unread: that one may carry a retry-after, which applies from
 // when it was written.
-func (c *conn) readResponse(j *job) (*http1.Response, error) {
+func (p *Pool) readResponse(c *conn, j *job) (*http1.Response, error) {
+	p.confirmWhileWaiting(c, j)
 	for range http1.MaxInterimResponses + 1 {
 		_, err := c.br.Peek(1)
 		if errors.Is(err, os.ErrDeadlineExceeded) && j.isCancelled() {
@@ -168,6 +202,19 @@
 	return nil, errTooManyInterim
 }
 
+// confirmWhileWaiting confirms the earlier responses of a connection if it brings nothing for long enough while a call
+// waits for its own. It returns as soon as something comes or the call is cancelled.
+func (p *Pool) confirmWhileWaiting(c *conn, j *job) {
+	if !c.confirmation.pending() {
+		return
+	}
+	j.setReadTimeout(max(time.Until(c.confirmation.dueAt()), finalCheckTime))
+	if _, err := c.br.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) && socket.ReadWouldBlock(c.nc) {
+		p.confirm(c)
+	}
+	j.setReadTimeout(0)
+}
+
 // roundTrip makes one call and passes its result to Config.Finish. It reports whether the connection can be used again.
 func (p *Pool) roundTrip(c *conn, j *job) bool {
 	c.nc.SetDeadline(time.Time{})
@@ -175,45 +222,80 @@
 		p.finishUnsent(j, rules.Cancelled)
 		return true
 	}
-	c.buf = appendCall(c.buf[:0], j.call)
+	c.saidClose = c.used() && j.call.LastUse
+	c.buf = appendCall(c.buf[:0], j.call, c.saidClose)
 	holdBack := time.Since(time.UnixMilli(p.lastReset.Load())) < holdBackAfterReset
 	if !c.writeCall(j, holdBack) {
 		c.closeReason = closedInWrite
 		j.attach(nil, nil)
 		p.finishUnsent(j, rules.ConnectError)
+		p.settleBroken(c, j.call.To)
 		return false
 	}
-	resp, err := c.readResponse(j)
+	writtenAt := time.Now()
+	resp, err := p.readResponse(c, j)
 	j.attach(nil, nil)
 	if resp == nil && errors.Is(err, syscall.ECONNRESET) {
 		p.lastReset.Store(time.Now().UnixMilli())
 	}
-	lost := rules.Reset
-	if j.isCancelled() {
-		lost = rules.Cancelled
-	}
 	first := !c.used()
-	p.countUse(c)
+	named := p.finishWritten(c, j, resp, err, writtenAt)
 	p.logCall(c, j, statusOf(resp), err)
-	p.cfg.Finish(j.call, exchange.Result{Written: true, Items: itemResults(j.call, resp, err, lost, first)})
 	if cap(c.buf) > maxKeptBufferBytes {
 		c.buf = nil
 	}
-	return p.keepsAfter(c, j.call.To, resp, err)
-}
-
-// keepsAfter reports whether a connection can be used again after a call that ended with this response.
-func (p *Pool) keepsAfter(c *conn, to exchange.Peer, resp *http1.Response, err error) bool {
 	if err != nil {
 		c.closeReason = closedWithoutResponse
+		p.contradict(c, nil)
 		return false
 	}
 	c.lastStatus, c.answeredAt = resp.Status, time.Now()
+	p.noteResponseTime(j.call.To, c.answeredAt.Sub(writtenAt))
+	if !first && !named && len(j.call.Items) > 1 && resp.Status == statusOK { // it names another call's messages
+		p.onUnasked(c, j.call.To)
+		return false
+	}
+	return p.keepsAfter(c, j.call.To, resp)
+}
+
+// settleBroken settles the responses of a connection on which a call could not be written.
+func (p *Pool) settleBroken(c *conn, to exchange.Peer) {
+	if c.br.Buffered() > 0 && c.used() {
+		p.onUnasked(c, to)
+		return
+	}
+	p.contradict(c, nil)
+}
+
+// finishWritten passes the result of a call that was written to Config.Finish, and notes whether its response proves
+// itself. One that does confirms those before it, as an endpoint answers the calls on a connection in their order. It
+// reports whether the response names each message of a call with several.
+func (p *Pool) finishWritten(c *conn, j *job, resp *http1.Response, err error, writtenAt time.Time) (named bool) {
+	first := !c.used()
+	p.countUse(c)
+	lost := rules.Reset
+	if j.isCancelled() {
+		lost = rules.Cancelled
+	}
+	items, named := itemResults(j.call, resp, err, lost, first)
+	proven := err != nil || c.confirmation.provesItself(resp, first, named)
+	p.cfg.Finish(j.call, exchange.Result{Written: true, Items: items, Unconfirmed: !proven})
+	switch {
+	case err != nil:
+	case proven:
+		p.confirm(c)
+	default:
+		p.noteUnconfirmed(c, j, resp, writtenAt)
+	}
+	return named
+}
+
+// keepsAfter reports whether a connection can be used again after a call that ended with this response.
+func (p *Pool) keepsAfter(c *conn, to exchange.Peer, resp *http1.Response) bool {
 	switch {
 	case c.br.Buffered() > 0:
-		c.closeReason = closedForUnaskedBytes
-		p.logUnasked(c, to)
-	case resp.Close:
+		p.onUnasked(c, to)
+	case resp.Close || c.saidClose:
 		c.closeReason = closedByResponse
 	default:
 		return true
--- a/internal/outbound/observe.go
+++ b/internal/outbound/observe.go
@@ -23,6 +23,7 @@
 	closedForShutdown                        // by Close
 	closedByEndpoint                         // while it was idle
 	closedForUnaskedBytes                    // bytes came that belong to no call
+	closedForDistrust                        // its endpoint has sent such bytes before
 	closedInWrite                            // a call could not be written, or not in time
 	closedWithoutResponse                    // a call was cancelled, or ended without a valid response
 	closedByResponse                         // a response said that it closes the connection
@@ -33,7 +34,8 @@
 var closeReasonNames = [closeReasonCount]string{
 	closedForKeepAlive: "keep_alive", closedOnRequest: "on_request", closedForLimit: "limit",
 	closedForShutdown: "shutdown", closedByEndpoint: "by_endpoint", closedForUnaskedBytes: "unasked_bytes",
-	closedInWrite: "in_write", closedWithoutResponse: "no_response", closedByResponse: "by_response",
+	closedForDistrust: "distrust",
+	closedInWrite:     "in_write", closedWithoutResponse: "no_response", closedByResponse: "by_response",
 }
 
 func (r closeReason) String() string { return closeReasonNames[r] }
@@ -44,7 +46,12 @@
 	FirstUses   atomic.Int64 // calls written on a connection that had carried none
 	LaterUses   atomic.Int64 // calls written on any other connection
 	UnaskedSeen atomic.Int64 // connections on which bytes came that belong to no call
-	closed      [closeReasonCount]atomic.Int64
+	Distrusted  atomic.Int64 // times that connections to an endpoint began to carry one call each
+
+	// Responses that do not prove themselves, once they are confirmed, and those that were perhaps another call's.
+	Confirmed, Contradicted atomic.Int64
+
+	closed [closeReasonCount]atomic.Int64
 }
 
 // LogValue returns the counters under their names in the log.
@@ -54,6 +61,9 @@
 		slog.Int64("first_uses", c.FirstUses.Load()),
 		slog.Int64("later_uses", c.LaterUses.Load()),
 		slog.Int64("unasked", c.UnaskedSeen.Load()),
+		slog.Int64("distrusted", c.Distrusted.Load()),
+		slog.Int64("confirmed", c.Confirmed.Load()),
+		slog.Int64("contradicted", c.Contradicted.Load()),
 	}
 	for reason := range c.closed {
 		attrs = append(attrs, slog.Int64("closed_"+closeReasonNames[reason], c.closed[reason].Load()))
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -23,7 +23,12 @@
 	KeepAlive      time.Duration // after which endpoints close idle connections
 	MaxConns       int
 	Finish         func(*exchange.Call, exchange.Result) // receives the result of each call
-	Log            *slog.Logger                          // nil: nothing is logged
+
+	// Confirm receives, after an unconfirmed result, whether its response was the call's own, and what a response that
+	// belonged to no call asked for.
+	Confirm func(call *exchange.Call, confirmed bool, retryAfter time.Duration)
+
+	Log *slog.Logger // nil: nothing is logged
 }
 
 // Pool makes calls over a set of connections. Create it with New.
@@ -32,6 +37,7 @@
 	mu        sync.Mutex
 	idle      map[exchange.Peer][]*conn // most recently used last
 	openConns int                       // open connections and those being opened
+	peers     peerRecords
 	closed    bool
 	wg        sync.WaitGroup
 
@@ -47,7 +53,13 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	d := net.Dialer{KeepAlive: -1}
-	return &Pool{cfg: cfg, idle: map[exchange.Peer][]*conn{}, dial: d.DialContext, minHoldBack: defaultMinHoldBack}
+	return &Pool{
+		cfg:         cfg,
+		idle:        map[exchange.Peer][]*conn{},
+		peers:       peerRecords{records: map[exchange.Peer]*peerRecord{}},
+		dial:        d.DialContext,
+		minHoldBack: defaultMinHoldBack,
+	}
 }
 
 // Start makes a call, on the most recently used idle connection to its endpoint or on a new one. It does not wait.
@@ -68,16 +80,17 @@
 	return j
 }
 
-// popIdle removes and returns the most recently used idle connection to a peer, nil if there is none. It must be called
-// with the lock held.
+// popIdle removes and returns the most recently used idle connection to a peer that need not rest, nil if there is
+// none. It must be called with the lock held.
 func (p *Pool) popIdle(to exchange.Peer) *conn {
-	list := p.idle[to]
-	if len(list) == 0 {
-		return nil
+	now := time.Now()
+	for _, c := range slices.Backward(p.idle[to]) {
+		if !c.confirmation.mustRest(now) {
+			p.removeIdle(to, c)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.removeIdle(to, c)
-	return c
+	return nil
 }
 
 // removeIdle removes a connection from the idle ones. It must be called with the lock held.
@@ -110,9 +123,16 @@
 func (p *Pool) CloseIdle(to exchange.Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := p.popIdle(to); c != nil; c = p.popIdle(to) {
-		c.endIdle(closedOnRequest)
+	p.closeIdle(to, closedOnRequest)
+}
+
+// closeIdle closes all idle connections to a peer, each as soon as its responses are confirmed. It must be called with
+// the lock held.
+func (p *Pool) closeIdle(to exchange.Peer, reason closeReason) {
+	for _, c := range p.idle[to] {
+		c.endIdle(reason)
 	}
+	delete(p.idle, to)
 }
 
 // Close closes all idle connections and waits for the calls in flight, which the caller must have cancelled.
@@ -145,11 +165,13 @@
 		}
 		to := j.call.To
 		if !p.roundTrip(c, j) {
+			p.awaitConfirmation(c, to)
 			p.close(c, to)
 			return
 		}
 		var usable bool
 		if j, usable = p.waitIdle(c, to); !usable {
+			p.awaitConfirmation(c, to)
 			p.close(c, to)
 			c = nil // no byte of the next call, if any, has been written: it gets a new connection
 		}
--- a/internal/outbound/outbound_test.go
+++ b/internal/outbound/outbound_test.go
@@ -31,14 +31,25 @@
 // testPool is a pool whose results the test reads.
 type testPool struct {
 	*Pool
-	t       *testing.T
-	results chan callResult
+	t             *testing.T
+	results       chan callResult
+	confirmations chan confirmedCall
+}
+
+// confirmedCall is a call whose unconfirmed response was confirmed or contradicted.
+type confirmedCall struct {
+	id         string // of its first message
+	confirmed  bool
+	retryAfter time.Duration
 }
 
 func newTestPool(t *testing.T, change func(*Config)) *testPool {
-	p := &testPool{t: t, results: make(chan callResult, 100)}
+	p := &testPool{t: t, results: make(chan callResult, 100), confirmations: make(chan confirmedCall, 100)}
 	cfg := Config{ConnectTimeout: 10 * time.Second, KeepAlive: time.Minute, MaxConns: 10,
-		Finish: func(c *exchange.Call, r exchange.Result) { p.results <- callResult{c, r} }}
+		Finish: func(c *exchange.Call, r exchange.Result) { p.results <- callResult{c, r} },
+		Confirm: func(c *exchange.Call, confirmed bool, retryAfter time.Duration) {
+			p.confirmations <- confirmedCall{c.Items[0].ID, confirmed, retryAfter}
+		}}
 	if change != nil {
 		change(&cfg)
 	}
@@ -175,16 +186,16 @@
 // An idempotency key is sent unchanged, with one message or several; a message without a key is sent without one.
 func TestIdempotencyKeysAreForwarded(t *testing.T) {
 	call := callTo("x", "a")
-	if text := string(appendCall(nil, call)); strings.Contains(text, "Idempotency-Key") {
+	if text := string(appendCall(nil, call, false)); strings.Contains(text, "Idempotency-Key") {
 		t.Errorf("a message without a key: %q", text)
 	}
 	call.Items[0].IdempotencyKey = "k1"
-	if text := string(appendCall(nil, call)); !strings.Contains(text, "\r\nIdempotency-Key: k1\r\n") {
+	if text := string(appendCall(nil, call, false)); !strings.Contains(text, "\r\nIdempotency-Key: k1\r\n") {
 		t.Errorf("a message with a key: %q", text)
 	}
 	call = callTo("x", "a", "b")
 	call.Items[1].IdempotencyKey = "k2"
-	text := string(appendCall(nil, call))
+	text := string(appendCall(nil, call, false))
 	if !strings.Contains(text, "\r\na - 12\r\n") || !strings.Contains(text, "\r\nb k2 12\r\n") {
 		t.Errorf("several messages: %q", text)
 	}
@@ -900,9 +911,14 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		for _, call := range []*exchange.Call{callTo("x", "a"), callTo("x", "a", "b")} {
 			resp, err := http1.ReadResponse(bufio.NewReader(bytes.NewReader(text)), maxResponseBytes)
-			results := itemResults(call, resp, err, rules.Reset, false)
-			results = append(results, itemResults(call, resp, err, rules.Reset, true)...)
-			for _, r := range results {
+			later, _ := itemResults(call, resp, err, rules.Reset, false)
+			first, _ := itemResults(call, resp, err, rules.Reset, true)
+			for _, r := range later {
+				if err != nil && r.Outcome != rules.Reset {
+					t.Fatalf("invalid response (%v) on a connection that was used before: %+v", err, r)
+				}
+			}
+			for _, r := range append(later, first...) {
 				delivered := r.Outcome == rules.OK && resp != nil && resp.Status == 200
 				wrongOutcome := r.Outcome != rules.Reset && !(delivered && len(call.Items) == 1)
 				if err != nil && (wrongOutcome || r.Finished || r.NoFreeSlot || r.ConnectionLimitReached) {
@@ -924,7 +940,7 @@
 		resp := &http1.Response{Status: status, Body: []byte(body),
 			Header: http1.Header{{Name: "Wait-Ms", Value: wait}, {Name: "Srv-Load", Value: load}}}
 		for _, call := range []*exchange.Call{callTo("x", "a"), callTo("x", "a", "b")} {
-			results := itemResults(call, resp, nil, rules.Reset, false)
+			results, _ := itemResults(call, resp, nil, rules.Reset, false)
 			if len(results) != len(call.Items) {
 				t.Fatalf("%d results for %d messages", len(results), len(call.Items))
 			}
--- a/rules/api.go
+++ b/rules/api.go
@@ -153,8 +153,8 @@
 	Prior       PriorAttempts
 }
 
-// PriorAttempts is the history of a message that an earlier process of the same sender accepted and did not finish.
-// The zero value is a new message.
+// PriorAttempts is the history of a message that an earlier process of the same sender accepted and did not finish, or
+// that was taken for delivered by a response that was not its own. The zero value is a new message.
 type PriorAttempts struct {
 	Count int // attempts made
 
@@ -163,6 +163,7 @@
 	Failed int
 
 	MayHaveRun bool          // at least one attempt may have run
+	Answered   bool          // with MayHaveRun: that attempt was answered, and so indicates no outage
 	Age        time.Duration // time since the earliest attempt that may have run
 	Endpoint   EndpointID    // where that attempt was sent, if the endpoint is still listed
 }
@@ -183,6 +184,20 @@
 	Recalled               bool          // with NotSent: withdrawn by Recall; Settings.MaxAttempts does not count it
 	ConnectionLimitReached bool          // with ConnectError: the endpoint is up and has reached its connection limit
 	Report                 Report
+
+	// Unconfirmed means that the response may belong to another call, although it says that the message never ran. The
+	// message is neither sent again nor refused until AttemptConfirmed follows.
+	Unconfirmed bool
+}
+
+// AttemptConfirmed reports whether the response to an attempt was its own. It follows an AttemptEnded that was
+// Unconfirmed; for any other attempt only RetryAfter counts.
+type AttemptConfirmed struct {
+	ID         MessageID
+	Attempt    int // as in AttemptEnded
+	Endpoint   EndpointID
+	MayHaveRun bool          // the response was perhaps another call's
+	RetryAfter time.Duration // what a response that belonged to no call asked for: send nothing to this limit for so long
 }
 
 // StreamStarted reports that the answer to an attempt has begun. From here on the attempt belongs to the client: the
@@ -232,6 +247,7 @@
 func (HintReceived) event()     {}
 func (Withdrawn) event()        {}
 func (AttemptEnded) event()     {}
+func (AttemptConfirmed) event() {}
 func (StreamStarted) event()    {}
 func (ListUpdate) event()       {}
 func (ShuttingDown) event()     {}
@@ -248,6 +264,9 @@
 	Endpoint EndpointID
 	Timeout  time.Duration // 0 for none: the attempt waits until the client gives up
 
+	// LastUse means that the connection is not needed after this attempt: CloseIdle would follow.
+	LastUse bool
+
 	// WriteWithin is the time in which the request must be written completely, else the attempt ends as NotSent with
 	// Recalled set. 0 sets no limit.
 	WriteWithin time.Duration
--- a/rules/calls.go
+++ b/rules/calls.go
@@ -45,7 +45,23 @@
 		return nil
 	}
 	delete(s.attempts, key)
-	m, c := a.message, a.call
+	if e.Unconfirmed && !a.message.finished {
+		s.unconfirmed[key] = unconfirmedAttempt{a, e}
+	} else {
+		s.closeForMessage(a, e)
+	}
+	c := a.call
+	if c.openAttempts--; c.openAttempts == 0 {
+		c.endpoint.calls = without(c.endpoint.calls, c)
+		c.endpoint.limitScope.inFlight--
+		s.calls = without(s.calls, c)
+	}
+	return a
+}
+
+// closeForMessage records for the message of an attempt that it has ended. Until then the message is in flight.
+func (s *Sender) closeForMessage(a *attempt, e AttemptEnded) {
+	m := a.message
 	if m.inFlight = without(m.inFlight, a); len(m.inFlight) == 0 && !m.finished {
 		m.destination.inFlight--
 	}
@@ -59,12 +75,14 @@
 			m.orderQueue.pausedUntil, m.orderQueue.pausedBy = s.now+s.settings.OrderPause, m
 		}
 	}
-	if c.openAttempts--; c.openAttempts == 0 {
-		c.endpoint.calls = without(c.endpoint.calls, c)
-		c.endpoint.limitScope.inFlight--
-		s.calls = without(s.calls, c)
-	}
-	return a
+}
+
+// takeUnconfirmed returns the attempt of an event that was unconfirmed, and removes it; false if there is none.
+func (s *Sender) takeUnconfirmed(e AttemptConfirmed) (unconfirmedAttempt, bool) {
+	key := attemptKey{e.ID, e.Attempt}
+	u, found := s.unconfirmed[key]
+	delete(s.unconfirmed, key)
+	return u, found
 }
 
 // cancelCall cancels the attempts of a call that are in flight; c may be nil.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -76,6 +76,8 @@
 		s.shutdownAt = s.now + e.After
 	case AttemptEnded:
 		s.onAttemptEnded(e)
+	case AttemptConfirmed:
+		s.onAttemptConfirmed(e)
 	case StreamStarted:
 		s.onStreamStarted(e)
 	case ListUpdate:
@@ -141,9 +143,11 @@
 
 // send makes one call that carries the messages.
 func (s *Sender) send(endpoint *endpointState, messages []*message) {
-	for _, a := range s.openCall(endpoint, messages).attempts {
+	attempts := s.openCall(endpoint, messages).attempts
+	lastUse := s.connectionsScarce(endpoint) && !endpoint.destination.hasWaiting()
+	for _, a := range attempts {
 		s.emit(Send{ID: a.id, Endpoint: endpoint.id, Timeout: s.timeout(a.message, endpoint),
-			WriteWithin: s.windowLeft(a.message)})
+			WriteWithin: s.windowLeft(a.message), LastUse: lastUse})
 	}
 	endpoint.limitScope.controller.onSend(s.now, s.settings.Senders)
 	s.chargeCall(endpoint)
@@ -153,10 +157,7 @@
 // one. A Retry-After binds the limit scope that returned it, also if a later outcome of the same call
 // brings it.
 func (s *Sender) onAttemptEnded(e AttemptEnded) {
-	if endpoint := s.endpoint(e.Endpoint); endpoint != nil && e.RetryAfter > 0 {
-		endpoint.limitScope.controller.expire(s.expiryCheckedAt)
-		endpoint.limitScope.controller.onRetryAfter(s.now + e.RetryAfter)
-	}
+	s.onRetryAfter(e.Endpoint, e.RetryAfter)
 	a := s.closeAttempt(e)
 	if a == nil {
 		return
@@ -165,7 +166,32 @@
 		a.call.assessed = true
 		s.assessOutcome(a.call, e)
 	}
-	s.settleMessage(a.message, a, e)
+	if _, unconfirmed := s.unconfirmed[attemptKey{e.ID, e.Attempt}]; !unconfirmed {
+		s.settleMessage(a.message, a, e)
+	}
+}
+
+// onRetryAfter makes a Retry-After, 0 for none, bind the limit scope of the endpoint that returned it.
+func (s *Sender) onRetryAfter(id EndpointID, retryAfter time.Duration) {
+	if endpoint := s.endpoint(id); endpoint != nil && retryAfter > 0 {
+		endpoint.limitScope.controller.expire(s.expiryCheckedAt)
+		endpoint.limitScope.controller.onRetryAfter(s.now + retryAfter)
+	}
+}
+
+// onAttemptConfirmed decides what happens to a message whose attempt was unconfirmed. If its response was
+// perhaps another call's, the attempt counts as one without a response: it may have run.
+func (s *Sender) onAttemptConfirmed(e AttemptConfirmed) {
+	s.onRetryAfter(e.Endpoint, e.RetryAfter)
+	u, found := s.takeUnconfirmed(e)
+	if !found {
+		return
+	}
+	if e.MayHaveRun {
+		u.ended.Outcome = Reset
+	}
+	s.closeForMessage(u.attempt, u.ended)
+	s.settleMessage(u.attempt.message, u.attempt, u.ended)
 }
 
 func (s *Sender) onStreamStarted(e StreamStarted) {
--- a/rules/state.go
+++ b/rules/state.go
@@ -158,6 +158,12 @@
 	number int
 }
 
+// unconfirmedAttempt is an attempt whose call has ended with a response that may be another call's.
+type unconfirmedAttempt struct {
+	attempt *attempt
+	ended   AttemptEnded
+}
+
 // message is a message that was accepted. One with its final answer is kept only as long as it has attempts in flight.
 type message struct {
 	treeNode
@@ -225,8 +231,9 @@
 	// Calls.
 	calls              []*call                 // in flight, oldest first; each takes a slot
 	attempts           map[attemptKey]*attempt // in flight
-	overdueCalls       int                     // calls in flight that are unusually late
-	endedCallEndpoints []*endpointState        // had a call end in this step
+	unconfirmed        map[attemptKey]unconfirmedAttempt
+	overdueCalls       int              // calls in flight that are unusually late
+	endedCallEndpoints []*endpointState // had a call end in this step
 
 	// Measurements.
 	classTimings               []timing // of all endpoints, by class
@@ -267,6 +274,7 @@
 		destinations:               map[int]*destinationState{},
 		held:                       map[MessageID]*message{},
 		attempts:                   map[attemptKey]*attempt{},
+		unconfirmed:                map[attemptKey]unconfirmedAttempt{},
 		orderQueues:                map[string]*orderQueue{},
 		answersSinceConnectRefusal: map[int]int{},
 		mayHaveRunCounts:           map[*endpointState]int{},
--- a/rules/suspicion.go
+++ b/rules/suspicion.go
@@ -134,7 +134,7 @@
 // indicatesOutage reports whether the attempts of a message before this process started suggest an outage: a
 // failure, or a call that was in flight for long.
 func (p PriorAttempts) indicatesOutage() bool {
-	return p.Failed > 0 || p.MayHaveRun && p.Age > initialLateAfter
+	return p.Failed > 0 || p.MayHaveRun && !p.Answered && p.Age > initialLateAfter
 }
 
 // hasHealthyEndpoint reports whether a destination has an endpoint, other than except, that is healthy as
