registry: each batch of notices has a connection of its own

The agent is on the sender's own machine, so a connection for each batch costs next to nothing, and proves the answer at every delay.

TestCopiedAnswerDoesNotEndANotice failed before: the second notice was taken for accepted and never read.

--- a/internal/registry/notices.go
+++ b/internal/registry/notices.go
@@ -62,7 +62,6 @@
 
 // Run delivers notices until the context ends.
 func (n *Notices) Run(ctx context.Context, sink Sink) {
-	defer n.client.close()
 	backoff, timeout := initialBackoff, initialPostTimeout
 	for ctx.Err() == nil {
 		batch := n.takeBatch()
@@ -103,9 +102,12 @@
 
 // post delivers one batch and reports whether it was accepted. If not, the batch goes back to the end of the queue. If
 // discovery could not read it, notices are sent one by one from then on, so that a bad one does not hold up the others.
+// Each batch has a connection of its own: a 204 names no notice, and on a connection that was used before it may be a
+// copy of an earlier one. A notice that is taken for accepted and was not is a lost message.
 func (n *Notices) post(ctx context.Context, at *location, timeout time.Duration, batch []ledger.Notice,
 	sink Sink) bool {
 	resp, err := n.client.do(ctx, at, limits{timeout, timeout}, "POST", "/status", encodeNotices(batch), nil)
+	n.client.close()
 	if err == nil && resp.Status == 204 {
 		ids := make([]string, len(batch))
 		for i, notice := range batch {
