registry: an older or unasked list is no answer to the request that is out

Now what lies unread ends a connection before the next request is written (counted as unasked), a whole list older than the held one is adopted only from a connection that has brought no other, and the whole list is fetched on a connection of its own. Changes prove themselves by their version, so the watch goes on over one connection as before.

--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -323,7 +323,7 @@
 	s.log.Info("counters", "exchange", s.exchange.Counts(), "connections", &s.pool.Counts,
 		slog.Group("intake", "requests", in.Requests.Load(), "health", in.HealthChecks.Load(),
 			"submitted", in.Submitted.Load(), "rejected", in.Rejected.Load(), "gone", in.ClientsGone.Load()),
-		slog.Group("discovery", "lists", s.registry.Lists.Load(), "failed", s.registry.Failed.Load(),
+		slog.Group("discovery", "lists", s.registry.Lists.Load(), "failed", s.registry.Failed.Load(), "unasked", s.registry.Unasked.Load(),
 			"list_bytes_written", s.listStore.BytesWritten.Load(), "lists_unwritten", s.listStore.Unwritten.Load(),
 			"notices_pending", s.notices.Pending(), "notices_failed", s.notices.Failed.Load()),
 		slog.Group("ledger", "broken", s.ledger.Stats().BrokenRecords),
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -12,9 +12,11 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eiderhaven/internal/http1"
+	"eiderhaven/internal/socket"
 )
 
 // Address is where discovery is. It may change while requests wait there.
@@ -62,13 +64,20 @@
 var errAddressChanged = errors.New("request aborted: the address of discovery has changed")
 
 // client makes one request at a time over a connection that it keeps open. It must never be used by two goroutines.
+//
+// Answers are matched to requests by their order alone, so an answer that nobody asked for shifts all later ones on its
+// connection by one. A request whose answer does not prove by its content that it belongs to it must be made on a new
+// connection: call close before.
 type client struct {
 	at  *location // of the connection
 	nc  net.Conn
 	br  *bufio.Reader
 	buf []byte
 
+	requests    int       // written on the connection
 	answerBegan time.Time // of the latest answer
+
+	unasked *atomic.Int64 // counts connections on which bytes came that nobody asked for; may be nil
 }
 
 const (
@@ -190,7 +199,7 @@
 func (c *client) send(ctx context.Context, at *location, timer *requestTimer, request []byte, read bodyReader) (
 	*http1.Response, error) {
 	c.buf = request
-	if c.at != at {
+	if c.at != at || c.nc != nil && !c.isQuiet() {
 		c.close()
 	}
 	if c.nc == nil {
@@ -201,17 +210,29 @@
 		}
 		c.at, c.nc, c.br = at, nc, bufio.NewReaderSize(nc, readBufferSize)
 	}
+	c.requests++
 	c.nc.SetDeadline(time.Time{})
 	nc := c.nc
 	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(pastDeadline) })
 	defer stop()
 	resp, err := c.roundTrip(timer, read)
-	if err != nil || resp.Close || c.br.Buffered() > 0 || !stop() {
+	if err != nil || resp.Close || !c.isQuiet() || !stop() {
 		c.close()
 	}
 	return resp, err
 }
 
+// isQuiet reports whether nothing lies unread on the open connection, neither bytes nor its end.
+func (c *client) isQuiet() bool {
+	if c.br.Buffered() == 0 && socket.ReadWouldBlock(c.nc) {
+		return true
+	}
+	if c.unasked != nil && (c.br.Buffered() > 0 || socket.HasUnreadBytes(c.nc)) {
+		c.unasked.Add(1)
+	}
+	return false
+}
+
 // roundTrip writes the request in buf and reads the answer.
 func (c *client) roundTrip(timer *requestTimer, read bodyReader) (*http1.Response, error) {
 	if _, err := c.nc.Write(c.buf); err != nil {
@@ -246,6 +267,6 @@
 func (c *client) close() {
 	if c.nc != nil {
 		c.nc.Close()
-		c.nc = nil
+		c.nc, c.requests = nil, 0
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -86,6 +86,7 @@
 	loggedTooLarge   string        // the latest logged error about a list that is too large
 	Lists            atomic.Int64  // answers applied, those without changes included
 	Failed           atomic.Int64  // failed requests
+	Unasked          atomic.Int64  // connections on which bytes came that nobody asked for
 
 	// ListStore, if set, is given every list and change. Set it before Run.
 	ListStore ListStore
@@ -99,7 +100,7 @@
 
 // New returns a registry client that has not started.
 func New(address *Address, names *settings.Names, log *slog.Logger) *Registry {
-	return &Registry{
+	r := &Registry{
 		names:            names,
 		log:              log,
 		address:          address,
@@ -109,6 +110,8 @@
 		firstList:        make(chan struct{}),
 		MaxListBytes:     defaultMaxListBytes,
 	}
+	r.client.unasked = &r.Unasked
+	return r
 }
 
 // FirstList returns a channel that is closed when the first list has come.
@@ -238,6 +241,9 @@
 		}
 		target = fmt.Sprintf("%s?after=%d&wait_ms=%d", target, since, resumeWait.Milliseconds())
 	}
+	if !incremental { // the answer does not prove that it belongs to this request
+		r.client.close()
+	}
 	begun := time.Now()
 	var seq int64
 	var listing exchange.Listing
@@ -260,7 +266,7 @@
 		return &unusableAnswerError{fmt.Errorf("GET %s: discovery answered with status %d", target, resp.Status)}
 	}
 	r.resuming = false
-	if incremental && !listing.Whole && !r.continuesList(since, seq, listing.Hosts) {
+	if incremental && !r.belongsToRequest(since, seq, listing) {
 		r.syncedAt = nil
 		// Otherwise a discovery whose versions alternate would be asked in a tight loop.
 		r.pause(ctx, emptyAnswerPause)
@@ -293,6 +299,15 @@
 
 const maxLastChange = 64 // entries; a larger change is not remembered
 
+// belongsToRequest reports whether a list can be the answer to a request for changes since a version. One that is older
+// than the held list may be a copy of an earlier answer, unless its connection has brought no other.
+func (r *Registry) belongsToRequest(since, seq int64, l exchange.Listing) bool {
+	if l.Whole {
+		return seq >= r.seq || r.client.requests <= 1
+	}
+	return r.continuesList(since, seq, l.Hosts)
+}
+
 // continuesList reports whether an incremental answer builds on the held list. An answer with an older version does
 // not: the version numbers have restarted.
 //
