Once two endpoints copy responses, no connection to any is reused

With unasked responses from two endpoints the copier is on the way to all of them; until now each endpoint was distrusted by its own copies alone, so each first copy, at 25 endpoints, had its chance.

--- a/internal/outbound/confirm.go
+++ b/internal/outbound/confirm.go
@@ -36,6 +36,10 @@
 	// distrustTime is how long connections to an endpoint carry one call each after one brought more than was asked for.
 	distrustTime = 10 * time.Minute
 
+	// distrustedCopiers is the number of endpoints that have sent a late response from which on all are distrusted: what
+	// copies responses is then not an endpoint, but on the way to all of them.
+	distrustedCopiers = 2
+
 	// surplusTimeout limits the wait for the rest of a response that nobody asked for.
 	surplusTimeout = 5 * time.Millisecond
 
@@ -164,26 +168,24 @@
 	}
 }
 
-// onUnasked handles bytes that belong to no call: connections to the endpoint carry one call each from now on.
-func (p *Pool) onUnasked(c *conn, to exchange.Peer) {
+// onUnasked handles bytes that belong to no call: connections to the endpoint carry one call each from now on. Where a
+// whole response comes on an idle connection, others may come while a call is out, on any connection.
+func (p *Pool) onUnasked(c *conn, to exchange.Peer, idle bool) {
 	c.closeReason = closedForUnaskedBytes
 	p.logUnasked(c, to)
-	p.distrust(to)
-	if !c.confirmation.pending() {
-		return
-	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(surplusTimeout)) // fails on a closed connection, whose reads fail too
 	surplus, err := http1.ReadOneResponse(c.br, maxResponseBytes)
 	if err != nil || surplus.Status < statusOK {
 		surplus = nil
 	}
+	p.distrust(to, idle && surplus != nil)
 	p.contradict(c, surplus)
 }
 
 // onIdleEnd handles an idle connection whose read has ended with err, nil if there are bytes to read.
 func (p *Pool) onIdleEnd(c *conn, to exchange.Peer, err error) {
 	if err == nil {
-		p.onUnasked(c, to)
+		p.onUnasked(c, to, true)
 		return
 	}
 	c.closeReason = closedByEndpoint
--- a/internal/outbound/confirm_test.go
+++ b/internal/outbound/confirm_test.go
@@ -265,6 +265,27 @@
 	ep.firstCall(p)
 }
 
+// Once two endpoints have sent responses that nobody asked for, connections to no endpoint are reused. Bytes that are no
+// whole response tell of their endpoint alone.
+func TestCopiersAreDistrustedTogether(t *testing.T) {
+	for text, reused := range map[string]bool{okResponse: false, "HTTP/1.1 40": true} {
+		p := newTestPool(t, nil)
+		other := listenScripted(t)
+		other.firstCall(p)
+		for range distrustedCopiers {
+			ep := listenScripted(t)
+			r := ep.firstCall(p)
+			r.write(text)
+			testkit.Eventually(t, "closed", func() bool { return ep.OpenConnections() == 0 })
+		}
+		other.call(p, okResponse, nil, "a")
+		if n := other.AcceptedConnections(); (n == 1) != reused {
+			t.Errorf("after %q from %d endpoints: %d connections to another, reused should be %v",
+				text, distrustedCopiers, n, reused)
+		}
+	}
+}
+
 // A refusal that holds a message up keeps its connection from being used until it is confirmed; any other response does
 // so only once the first one has been unconfirmed for long.
 func TestConnectionsRest(t *testing.T) {
@@ -380,7 +401,7 @@
 		const endpoints = 10 * minPeersKept
 		for i := range endpoints {
 			if i == endpoints/2 {
-				p.distrust(peerAt("distrusted"))
+				p.distrust(peerAt("distrusted"), false)
 			}
 			p.noteResponseTime(exchange.Peer{Name: string(rune('a' + i))}, time.Millisecond)
 			time.Sleep(time.Second)
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -252,7 +252,7 @@
 	c.lastStatus, c.answeredAt = resp.Status, time.Now()
 	p.noteResponseTime(j.call.To, c.answeredAt.Sub(writtenAt))
 	if !first && !named && len(j.call.Items) > 1 && resp.Status == statusOK { // it names another call's messages
-		p.onUnasked(c, j.call.To)
+		p.onUnasked(c, j.call.To, false)
 		return false
 	}
 	return p.keepsAfter(c, j.call.To, resp)
@@ -261,7 +261,7 @@
 // settleBroken settles the responses of a connection on which a call could not be written.
 func (p *Pool) settleBroken(c *conn, to exchange.Peer) {
 	if c.br.Buffered() > 0 && c.used() {
-		p.onUnasked(c, to)
+		p.onUnasked(c, to, false)
 		return
 	}
 	p.contradict(c, nil)
@@ -294,7 +294,7 @@
 func (p *Pool) keepsAfter(c *conn, to exchange.Peer, resp *http1.Response) bool {
 	switch {
 	case c.br.Buffered() > 0:
-		p.onUnasked(c, to)
+		p.onUnasked(c, to, false)
 	case resp.Close || c.saidClose:
 		c.closeReason = closedByResponse
 	default:
--- a/internal/outbound/peers.go
+++ b/internal/outbound/peers.go
@@ -26,6 +26,7 @@
 	slowestBefore   time.Duration // in the period before
 	periodBegan     time.Time
 	answeredAt      time.Time
+	copiedAt        time.Time // when it last sent a whole response on an idle connection
 	distrustedUntil time.Time
 }
 
@@ -33,6 +34,8 @@
 type peerRecords struct {
 	records map[exchange.Peer]*peerRecord
 	kept    int // number of records after the last cleanup
+
+	allDistrustedUntil time.Time
 }
 
 // of returns the record of an endpoint, a new one if there is none. Each time their number has doubled, old ones are
@@ -78,8 +81,9 @@
 	return max(minConfirmationTime, min(confirmationFactor*slowest, maxConfirmationTime))
 }
 
-// distrust makes connections to an endpoint carry one call each for distrustTime.
-func (p *Pool) distrust(to exchange.Peer) {
+// distrust makes connections to an endpoint carry one call each for distrustTime, and those to all endpoints once enough
+// of them were copiers: endpoints that sent a whole response on an idle connection.
+func (p *Pool) distrust(to exchange.Peer, copier bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,10 +94,36 @@
 	}
 	record.distrustedUntil = now.Add(distrustTime)
 	p.closeIdle(to, closedForDistrust)
+	if !copier {
+		return
+	}
+	record.copiedAt = now
+	if p.peers.copiers(now) < distrustedCopiers {
+		return
+	}
+	if now.After(p.peers.allDistrustedUntil) {
+		p.cfg.Log.Warn("several endpoints sent responses that nobody asked for: no connection is reused", "for", distrustTime)
+	}
+	p.peers.allDistrustedUntil = now.Add(distrustTime)
+	for peer := range p.idle {
+		p.closeIdle(peer, closedForDistrust)
+	}
+}
+
+// copiers returns how many endpoints have sent a whole response on an idle connection within distrustTime.
+func (r *peerRecords) copiers(now time.Time) int {
+	n := 0
+	for _, record := range r.records {
+		if !record.copiedAt.IsZero() && now.Sub(record.copiedAt) < distrustTime {
+			n++
+		}
+	}
+	return n
 }
 
 // distrusts reports whether connections to an endpoint carry one call each. It must be called with the lock held.
 func (p *Pool) distrusts(to exchange.Peer) bool {
+	now := time.Now()
 	record := p.peers.records[to]
-	return record != nil && time.Now().Before(record.distrustedUntil)
+	return now.Before(p.peers.allDistrustedUntil) || record != nil && now.Before(record.distrustedUntil)
 }
