--- a/lab/proxy/faults.go
+++ b/lab/proxy/faults.go
@@ -11,7 +11,8 @@
 	"eiderhaven/internal/http1"
 )
 
-// Faults are the shares of responses that a proxy spoils, each 0 to 1 and drawn independently, and their ranges.
+// Faults are the shares of responses that a proxy spoils, each 0 to 1 and drawn independently, and their ranges. A
+// response that tells a wait is neither delayed nor cut, as the wait counts from when the server wrote it.
 type Faults struct {
 	Copy       float64       // a second copy follows
 	CopyFrom   time.Duration // shortest time from the response to its copy
@@ -21,7 +22,7 @@
 	SplitPause time.Duration
 	Join       float64 // held back until the next bytes of the connection, a copy for example, but for JoinWait at most
 	JoinWait   time.Duration
-	Delay      float64 // written up to DelayTo later; a response that tells a wait is not delayed
+	Delay      float64 // written up to DelayTo later
 	DelayTo    time.Duration
 	Cut        float64 // only a part is written, then the connection is closed
 	Inject     float64 // a response with InjectStatus follows, which is no copy, as late as a copy would be
@@ -73,7 +74,7 @@
 		splits:     chance(f.Split),
 		splitPause: upTo(f.SplitPause),
 		joins:      chance(f.Join),
-		cuts:       chance(f.Cut),
+		cuts:       chance(f.Cut) && !tellsWait,
 		position:   r.Float64(),
 		injects:    chance(f.Inject),
 	}
