A payment held up by a refusal keeps its connection watched, and for longer

Now the half applies only where no message is held up, and one that must not be repeated waits three times as long (0.3 to 3 s). TestClosingWaitsForConfirmation holds it; it fails without the change (asked to close, the refusal is confirmed early).

--- a/internal/outbound/confirm.go
+++ b/internal/outbound/confirm.go
@@ -29,6 +29,10 @@
 	minConfirmationTime = 100 * time.Millisecond
 	maxConfirmationTime = time.Second
 
+	// heldUpFactor multiplies it where a message that must not be repeated is held up: a wrong confirmation would send it
+	// again while it runs.
+	heldUpFactor = 3
+
 	// maxUnconfirmedTime is how long a connection may carry calls while its earliest response is unconfirmed. After that
 	// it rests until it is.
 	maxUnconfirmedTime = time.Second
@@ -43,8 +47,8 @@
 	// surplusTimeout limits the wait for the rest of a response that nobody asked for.
 	surplusTimeout = 5 * time.Millisecond
 
-	// A connection that the exchange wants closed stays open for 1/closingDivisor of the confirmation time at most, as
-	// endpoints that accept few connections may wait for its end.
+	// A connection that the exchange wants closed, and that holds no message up, stays open for 1/closingDivisor of the
+	// confirmation time at most, as endpoints that accept few connections may wait for its end.
 	closingDivisor = 2
 
 	maxBatchResponses = 256 // remembered by a connection, to tell a copy of one
@@ -63,7 +67,7 @@
 type confirmation struct {
 	unconfirmed []unconfirmedResponse // since the last one that was confirmed, oldest first
 	within      time.Duration         // confirmation time, as of the latest response
-	soon        bool                  // a message is held up until its response is confirmed
+	soon        bool                  // a message is held up until its response is confirmed, and the connection rests
 	batches     map[uint64]bool       // hashes of the responses that named messages which may be called again
 }
 
@@ -129,8 +133,11 @@
 
 // noteUnconfirmed adds a response that does not prove itself to those of the connection.
 func (p *Pool) noteUnconfirmed(c *conn, j *job, resp *http1.Response, writtenAt time.Time) {
-	c.confirmation.within = p.confirmationTime(j.call.To)
 	c.confirmation.soon = c.confirmation.soon || j.call.ConfirmSoon && resp.Status != statusOK
+	c.confirmation.within = p.confirmationTime(j.call.To)
+	if c.confirmation.soon {
+		c.confirmation.within *= heldUpFactor
+	}
 	u := unconfirmedResponse{call: j.call, status: resp.Status, writtenAt: writtenAt, at: time.Now()}
 	if resp.Status == statusOK && len(j.call.Items) > 1 {
 		u.status = 0 // what it says is in its body
@@ -213,7 +220,7 @@
 		return
 	}
 	within := c.confirmation.within
-	if c.closeReason == closedOnRequest {
+	if c.closeReason == closedOnRequest && !c.confirmation.soon {
 		within /= closingDivisor
 	}
 	_ = c.nc.SetReadDeadline(c.confirmation.due(within)) // fails on a closed connection, whose reads fail too
--- a/internal/outbound/confirm_test.go
+++ b/internal/outbound/confirm_test.go
@@ -104,12 +104,20 @@
 	p := newTestPool(t, nil)
 	ep.firstCall(p)
 	begun := time.Now()
-	if _, got := ep.call(p, refusalResponse, nil, "a"); !got.Unconfirmed || got.Items[0].Outcome != rules.Refused {
-		t.Errorf("got %+v, want an unconfirmed refusal", got.Result)
-	}
-	p.wantConfirmation(confirmedCall{id: "a", confirmed: true})
-	if took := time.Since(begun); took < minConfirmationTime {
-		t.Errorf("confirmed after %v, want at least %v", took, minConfirmationTime)
+	for _, heldUp := range []bool{false, true} {
+		_, got := ep.call(p, refusalResponse, func(c *exchange.Call) { c.ConfirmSoon = heldUp }, "a")
+		if !got.Unconfirmed || got.Items[0].Outcome != rules.Refused {
+			t.Errorf("got %+v, want an unconfirmed refusal", got.Result)
+		}
+		p.wantConfirmation(confirmedCall{id: "a", confirmed: true})
+		least := minConfirmationTime
+		if heldUp {
+			least *= heldUpFactor
+		}
+		if took := time.Since(begun); took < least {
+			t.Errorf("held up %v: confirmed after %v, want at least %v", heldUp, took, least)
+		}
+		begun = time.Now()
 	}
 	if n := p.idleAt(ep.Addr()); n != 1 || ep.AcceptedConnections() != 1 {
 		t.Errorf("%d idle connections of %d, want the one kept", n, ep.AcceptedConnections())
@@ -357,17 +365,27 @@
 	}
 }
 
-// A connection that is to be closed stays open until its response is confirmed, half as long at the exchange's request.
+// A connection that is to be closed stays open until its response is confirmed: half as long at the exchange's request,
+// but for the whole time if it holds a payment up. A soak found a payment that was sent again while it ran: an injected
+// refusal was confirmed after half the time, at an endpoint whose calls queued.
 func TestClosingWaitsForConfirmation(t *testing.T) {
-	ep := listenScripted(t)
-	p := newTestPool(t, nil)
-	ep.firstCall(p)
-	r, _ := ep.call(p, refusalResponse, nil, "a")
-	p.waitIdleAt(ep.Addr(), 1)
-	p.CloseIdle(peerAt(ep.Addr()))
-	r.write(okResponse)
-	p.wantConfirmation(confirmedCall{id: "a"})
-	testkit.Eventually(t, "closed", func() bool { return ep.OpenConnections() == 0 })
+	for _, heldUp := range []bool{false, true} {
+		ep := listenScripted(t)
+		p := newTestPool(t, nil)
+		ep.firstCall(p)
+		begun := time.Now()
+		r, _ := ep.call(p, refusalResponse, func(c *exchange.Call) { c.ConfirmSoon = heldUp }, "a")
+		p.waitIdleAt(ep.Addr(), 1)
+		p.CloseIdle(peerAt(ep.Addr()))
+		if !heldUp {
+			r.write(okResponse)
+		}
+		p.wantConfirmation(confirmedCall{id: "a", confirmed: heldUp})
+		testkit.Eventually(t, "closed", func() bool { return ep.OpenConnections() == 0 })
+		if took := time.Since(begun); heldUp && took < heldUpFactor*minConfirmationTime {
+			t.Errorf("closed after %v, want at least %v", took, heldUpFactor*minConfirmationTime)
+		}
+	}
 }
 
 func TestConfirmationTimeFollowsResponseTimes(t *testing.T) {
