--- a/internal/outbound/confirm.go
+++ b/internal/outbound/confirm.go
@@ -42,7 +42,7 @@
 
 	// trustedQuietUses is the number of connections in a row that have brought nothing unasked before their next call from
 	// which on a connection need not be watched first, see Config.WatchFirst.
-	trustedQuietUses = 50
+	trustedQuietUses = 16
 
 	// distrustedCopiers is the number of endpoints that have sent a late response from which on all are distrusted: what
 	// copies responses is then not an endpoint, but on the way to all of them.
