--- a/lab/rig/answers_test.go
+++ b/lab/rig/answers_test.go
@@ -28,8 +28,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("seed %d: %d submitted, %d accepted, receivers %+v, proxies %+v",
-		seed, r.Submitted, r.Accepted, r.ReceiverCounts, r.ProxyCounts)
+	t.Logf("seed %d: %d submitted, %d accepted, clients late by %.1f ms, receivers by %.1f ms, receivers %+v, proxies %+v",
+		seed, r.Submitted, r.Accepted, r.ClientDelayP99Ms, r.ReceiverLagMs, r.ReceiverCounts, r.ProxyCounts)
 	for _, v := range r.Violations {
 		t.Errorf("seed %d: %s rule %s, sender %d, message %s: %s",
 			seed, v.At.Format("15:04:05.000"), v.Rule, v.Sender, v.ID, v.Text)
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -18,7 +18,8 @@
 	"time"
 )
 
-// SmallFleet is the number of senders up to which they use connections and limits without care for the others.
+// SmallFleet is the number of senders up to which they use connections and limits without care for the
+// others.
 const SmallFleet = 12
 
 // Sizes of a fleet, in senders.
