ledger: ends are recorded in a mapped reserve while the folder takes no records

What callers saw: a message was called after its 429 or its notice. Cause: refuse and fail answered the client before they wrote the end, and an end whose record failed was told all the same; the next process found the message owed. Change: the end is written first. Where the segments fail it is copied to a file that was allotted and mapped at the start, which no failing system call takes away and a kill does not undo; a message is accepted only if the reserve can take its end. Accepted notices that cannot be recorded are written later.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -357,7 +357,7 @@
 func (x *Exchange) NoticesAccepted(ids []string) {
 	x.post(func() {
 		x.counts.NoticesAccepted += len(ids)
-		x.countRecordError(x.cfg.Ledger.RecordEnd(ids...))
+		x.countRecordError(x.cfg.Ledger.RecordNoticesAccepted(ids...))
 	})
 }
 
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -185,8 +185,8 @@
 	case h == nil:
 	case h.reply != nil:
 		x.counts.Refused++
-		x.answer(h, Answer{Verdict: Refused, RetryAfter: retryAfter})
 		x.finish(h)
+		x.answer(h, Answer{Verdict: Refused, RetryAfter: retryAfter})
 	default:
 		x.counts.Bounced++
 		x.notify(h, ledger.Notice{ID: h.message.ID, RetryAfter: retryAfter})
@@ -199,8 +199,8 @@
 	case h == nil:
 	case h.reply != nil:
 		x.counts.Failed++
-		x.answer(h, Answer{Verdict: Failed})
 		x.finish(h)
+		x.answer(h, Answer{Verdict: Failed})
 	default:
 		x.counts.Dead++
 		x.notify(h, ledger.Notice{ID: h.message.ID, Dead: true})
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -122,6 +122,11 @@
 	file           *os.File
 	foreignBytes   int64 // files in the directory that do not belong to the ledger
 	listBytes      int64 // reserved for the list of endpoints
+	reserve        *reserve
+	reserveSegment *segment // stands for the reserve; it is none of segments
+	owedEndBytes   int      // bytes that the ends of all held messages may need in the reserve
+	unwrittenEnds  []string // IDs of accepted notices whose end could not be written yet
+	flushing       bool     // a flush of the reserve is under way
 	lastSeq        uint64
 	compacting     bool // a compaction is under way
 	rotationFailed bool // the last attempt to start a segment failed
@@ -139,6 +144,8 @@
 		segmentSize: maxBytes / segmentsPerLimit,
 		log:         log,
 		entries:     map[string]*entry{},
+
+		reserveSegment: &segment{path: filepath.Join(dir, ReserveFile)},
 	}
 	files, err := os.ReadDir(dir)
 	if err != nil {
@@ -155,6 +162,10 @@
 			return nil, fmt.Errorf("ledger: %w", err)
 		}
 	}
+	if l.reserve, err = openReserve(dir, reserveSize(maxBytes)); err != nil {
+		log.Warn("the ledger has no reserve: ends are lost while the state directory takes no records", "err", err)
+	}
+	l.replayReserve()
 	l.removeDeadSegments()
 	if err := l.rotate(); err != nil {
 		return nil, err
@@ -169,6 +180,9 @@
 	if err != nil {
 		return err
 	}
+	if f.Name() == ReserveFile {
+		return nil // counted by usedBytes
+	}
 	if f.Name() == ListFile || f.Name() == ListTempFile {
 		l.listBytes += diskUsage(info.Size())
 		return nil
@@ -218,6 +232,7 @@
 		}
 		l.lastSeq = max(l.lastSeq, r.seq)
 		l.entries[r.id] = e
+		l.owedEndBytes += endRecordSize(r.id)
 		s.addEntry(e, size)
 	case kindNotice:
 		l.removeEntry(r.id, e)
@@ -258,6 +273,9 @@
 // removeEntry removes an entry, if it is not nil.
 func (l *Ledger) removeEntry(id string, e *entry) {
 	if e != nil {
+		if e.message != nil {
+			l.owedEndBytes -= endRecordSize(id)
+		}
 		e.segment.liveEntries--
 		e.segment.liveBytes -= e.recordSize
 		delete(l.entries, id)
@@ -332,7 +350,10 @@
 	if l.usedBytes()+need > l.maxBytes {
 		l.compact()
 	}
-	if l.usedBytes()+need > l.maxBytes {
+	if err := l.flush(); err != nil {
+		return err
+	}
+	if l.usedBytes()+need > l.maxBytes || !l.reserveHolds(m.ID) {
 		return ErrFull
 	}
 	l.lastSeq++
@@ -368,15 +389,26 @@
 	})
 }
 
-// RecordEnd records that messages need nothing more: they have ended, and no notice of them is left to be accepted.
-func (l *Ledger) RecordEnd(ids ...string) error {
-	return l.appendAndApply(record{kind: kindEnd, ids: ids})
+// RecordEnd records that a message needs nothing more: it has ended, and no notice of it is owed. It succeeds although
+// the segments take nothing, as long as the reserve has room.
+func (l *Ledger) RecordEnd(id string) error {
+	return l.recordEnd(record{kind: kindEnd, ids: []string{id}})
 }
 
-// RecordNotice records the end of a message of which the platform has to be notified.
+// RecordNotice records the end of a message of which the platform has to be notified, like RecordEnd.
 func (l *Ledger) RecordNotice(n Notice) error {
 	l.lastSeq++
-	return l.appendAndApply(noticeRecord(n, l.lastSeq))
+	return l.recordEnd(noticeRecord(n, l.lastSeq))
+}
+
+// RecordNoticesAccepted records that the platform has accepted notices. After an error it is written with the next
+// record that can be; until then a restart repeats the notices, which does no harm.
+func (l *Ledger) RecordNoticesAccepted(ids ...string) error {
+	err := l.appendAndApply(record{kind: kindEnd, ids: ids})
+	if err != nil {
+		l.unwrittenEnds = append(l.unwrittenEnds, ids...)
+	}
+	return err
 }
 
 // RecordOutage records that the sender considers an endpoint down. It is only a hint: where space is short it is left
@@ -394,7 +426,7 @@
 	if l.entries[outageKey(host)] == nil {
 		return nil
 	}
-	return l.RecordEnd(outageKey(host))
+	return l.appendAndApply(record{kind: kindEnd, ids: []string{outageKey(host)}})
 }
 
 // Outages returns the outages that have not ended, oldest first.
@@ -408,7 +440,10 @@
 }
 
 // Close closes the ledger. The files stay in the directory.
-func (l *Ledger) Close() error { return l.file.Close() }
+func (l *Ledger) Close() error {
+	l.reserve.close()
+	return l.file.Close()
+}
 
 // The list of endpoints may use up to maxBytes / listSpaceDivisor.
 const listSpaceDivisor = 4
@@ -429,15 +464,26 @@
 
 // usedBytes returns how much of the size limit is used.
 func (l *Ledger) usedBytes() int64 {
-	sum := l.foreignBytes + l.listBytes
+	sum := l.foreignBytes + l.listBytes + l.reserveBytes()
 	for _, s := range l.segments {
 		sum += s.diskUsage()
 	}
 	return sum
 }
 
+// reserveBytes returns how much of the size limit the reserve uses.
+func (l *Ledger) reserveBytes() int64 {
+	if l.reserve == nil || l.reserve.data == nil {
+		return 0
+	}
+	return diskUsage(int64(len(l.reserve.data)))
+}
+
 // appendAndApply appends a record to the newest segment and updates the state with it.
 func (l *Ledger) appendAndApply(r record) error {
+	if err := l.flush(); err != nil {
+		return err
+	}
 	l.buf = appendRecord(l.buf[:0], r)
 	cur := l.segments[len(l.segments)-1]
 	if cur.size > 0 && cur.size+int64(len(l.buf)) > l.segmentSize && l.rotateAndCompact() {
@@ -521,7 +567,7 @@
 
 // wastedBytes returns how many bytes of the segments are not used by the newest record of an entry.
 func (l *Ledger) wastedBytes() int64 {
-	sum := l.usedBytes() - l.foreignBytes - l.listBytes
+	sum := l.usedBytes() - l.foreignBytes - l.listBytes - l.reserveBytes()
 	for _, s := range l.segments {
 		sum -= s.liveBytes
 	}
