ledger: the IDs of ended messages outlast the process, and none is forgotten early

Cause: recentIDs lived in memory alone and forgot by number whatever the age. Change: the ledger knows an ID from its acceptance until its retention after the end is over. Segments with ends that must be known stay, or their hashes are copied forward. Where no more can be kept, new messages are refused.

--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -93,7 +93,7 @@
 	for _, setting := range cfg.unsupported {
 		log.Warn("a setting has no effect", "which", setting)
 	}
-	led, err := ledger.Open(cfg.state, cfg.disk, log)
+	led, err := ledger.Open(cfg.state, cfg.disk, exchange.IDRetention(cfg.settings.Classes), log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/capacity/parts_test.go
+++ b/internal/capacity/parts_test.go
@@ -45,7 +45,7 @@
 					b.Fatal(err)
 				}
 				defer os.RemoveAll(dir)
-				led, err := ledger.Open(dir, maxLedgerBytes, discardLog)
+				led, err := ledger.Open(dir, maxLedgerBytes, exchange.IDRetention(nil), discardLog)
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -69,7 +69,7 @@
 				led.Close()
 				disk := fileBytes(dir)
 				start = time.Now()
-				led, err = ledger.Open(dir, maxLedgerBytes, discardLog)
+				led, err = ledger.Open(dir, maxLedgerBytes, exchange.IDRetention(nil), discardLog)
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -145,7 +145,6 @@
 	unconfirmed   map[string]*unconfirmedItem // messages that are over by a response that may be another call's, by ID
 	callsInFlight []*callInFlight             // oldest first
 	directory     *directory
-	recentIDs     recentIDs
 	events        []rules.Event  // for the next step
 	unanswered    []*heldMessage // accepted since the last step, their clients not answered yet
 	wakeAt        time.Duration  // when the module wants to be woken, negative for not at all
@@ -182,7 +181,6 @@
 		unconfirmed:  map[string]*unconfirmedItem{},
 		directory:    newDirectory(),
 		counts:       Counts{Ended: map[rules.EndReason]int{}},
-		recentIDs:    newRecentIDs(cfg.Settings.Classes),
 		wakeAt:       -1,
 		firstEventAt: -1,
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -116,7 +116,7 @@
 	if change != nil {
 		change(settings)
 	}
-	led, err := ledger.Open(dir, ledgerLimit, discardLog)
+	led, err := ledger.Open(dir, ledgerLimit, minIDRetention, discardLog)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -224,7 +224,7 @@
 // pendingOnDisk returns the messages that another process would find in the state directory now.
 func (h *harness) pendingOnDisk() []ledger.PendingMessage {
 	h.t.Helper()
-	l, err := ledger.Open(h.dir, ledgerLimit, discardLog)
+	l, err := ledger.Open(h.dir, ledgerLimit, minIDRetention, discardLog)
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -300,7 +300,7 @@
 		if c.Bounced != 1 || c.Dead != 1 {
 			t.Errorf("counters: %+v", c)
 		}
-		l, err := ledger.Open(h.dir, ledgerLimit, discardLog)
+		l, err := ledger.Open(h.dir, ledgerLimit, minIDRetention, discardLog)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -331,7 +331,7 @@
 // which decides about each; notices that were not accepted are repeated.
 func TestRestart(t *testing.T) {
 	dir := t.TempDir()
-	led, err := ledger.Open(dir, ledgerLimit, discardLog)
+	led, err := ledger.Open(dir, ledgerLimit, minIDRetention, discardLog)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -978,26 +978,11 @@
 	h.ledger.Close()
 }
 
-// TestRecentIDs expects the IDs of ended messages to be kept for a limited time and in limited number.
-func TestRecentIDs(t *testing.T) {
-	r, now := newRecentIDs(nil), time.Now()
-	long := newRecentIDs([]rules.Class{{Deadline: time.Second}, {Deadline: 30 * time.Second}})
-	if r.retention != minIDRetention || long.retention != 30*time.Second {
-		t.Errorf("kept %v without classes and %v with one of 30 s", r.retention, long.retention)
-	}
-	for i := range 3 * maxRecentIDs {
-		r.add(fmt.Sprint(i), now)
-	}
-	if len(r.endedAt) > maxRecentIDs || len(r.order) > maxRecentIDs {
-		t.Errorf("%d IDs kept, %d in order; want at most %d", len(r.endedAt), len(r.order), maxRecentIDs)
-	}
-	last := fmt.Sprint(3*maxRecentIDs - 1)
-	if !r.contains(last, now) || r.contains(last, now.Add(minIDRetention)) || r.contains("0", now) {
-		t.Error("the IDs kept are not the most recent ones")
-	}
-	r.add("x", now.Add(minIDRetention))
-	if len(r.endedAt) != 1 || len(r.order) != 1 {
-		t.Errorf("%d IDs kept past their time", len(r.endedAt)-1)
+// TestIDRetention expects IDs of ended messages to be known as long as a message of any class may live.
+func TestIDRetention(t *testing.T) {
+	classes := []rules.Class{{Deadline: time.Second}, {Deadline: 30 * time.Second}}
+	if short, long := IDRetention(nil), IDRetention(classes); short != minIDRetention || long != 30*time.Second {
+		t.Errorf("known for %v without classes and %v with one of 30 s", short, long)
 	}
 }
 
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -62,7 +62,7 @@
 		x.counts.Unknown++
 		reply <- Answer{Verdict: Unknown}
 		return
-	case x.held[m.ID] != nil || x.unconfirmed[m.ID] != nil || x.recentIDs.contains(m.ID, time.Now()):
+	case x.cfg.Ledger.Knows(m.ID):
 		x.counts.Duplicate++
 		reply <- Answer{Verdict: Duplicate}
 		return
@@ -166,15 +166,9 @@
 	h.reply = nil
 }
 
-// release stops holding a message that has ended and remembers its ID.
-func (x *Exchange) release(h *heldMessage) {
-	delete(x.held, h.message.ID)
-	x.recentIDs.add(h.message.ID, time.Now())
-}
-
 // finish releases a message that needs neither a delivery nor a notice any more.
 func (x *Exchange) finish(h *heldMessage) {
-	x.release(h)
+	delete(x.held, h.message.ID)
 	x.countRecordError(x.cfg.Ledger.RecordEnd(h.message.ID))
 }
 
@@ -210,7 +204,7 @@
 // notify ends a message with a notice to the platform.
 func (x *Exchange) notify(h *heldMessage, n ledger.Notice) {
 	x.abandonCalls(rules.TimedOut, hasMessage(h.message)) // nothing may reach an endpoint from now on
-	x.release(h)
+	delete(x.held, h.message.ID)
 	x.countRecordError(x.cfg.Ledger.RecordNotice(n))
 	x.cfg.Platform.EnqueueNotice(n)
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -46,7 +46,7 @@
 // newTestServer starts a server. If not nil, changeSettings and changeConfig change its defaults.
 func newTestServer(t testing.TB, changeSettings func(*rules.Settings), changeConfig func(*Config)) *testServer {
 	t.Helper()
-	led, err := ledger.Open(t.TempDir(), 2<<20, discardLog)
+	led, err := ledger.Open(t.TempDir(), 2<<20, exchange.IDRetention(nil), discardLog)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -97,6 +97,8 @@
 	size        int64
 	liveEntries int   // entries whose newest full record is here
 	liveBytes   int64 // bytes of those records
+
+	endedIDs []idHash // of the messages whose ends are recorded here
 }
 
 // addEntry notes that s holds the newest full record of an entry.
@@ -118,6 +120,7 @@
 	segmentSize    int64 // a segment is closed before it exceeds this size
 	log            *slog.Logger
 	entries        map[string]*entry // by ID of the message, or outageKey
+	ended          endedIDs
 	segments       []*segment        // oldest first; the last one is written to
 	file           *os.File
 	foreignBytes   int64 // files in the directory that do not belong to the ledger
@@ -136,14 +139,16 @@
 }
 
 // Open reads the directory, whose files may use up to maxBytes, and starts a new segment. Broken records are logged,
-// counted and skipped.
-func Open(dir string, maxBytes int64, log *slog.Logger) (*Ledger, error) {
+// counted and skipped. The ID of a message is known for idRetention after its end, also to later processes; 0 means that
+// it is forgotten at once.
+func Open(dir string, maxBytes int64, idRetention time.Duration, log *slog.Logger) (*Ledger, error) {
 	l := &Ledger{
 		dir:         dir,
 		maxBytes:    maxBytes,
 		segmentSize: maxBytes / segmentsPerLimit,
 		log:         log,
 		entries:     map[string]*entry{},
+		ended:       newEndedIDs(idRetention, maxBytes),
 
 		reserveSegment: &segment{path: filepath.Join(dir, ReserveFile)},
 	}
@@ -265,8 +270,15 @@
 		}
 	case kindEnd:
 		for _, id := range r.ids {
+			if e := l.entries[id]; e == nil || e.outage == nil {
+				l.noteEnded(hashID(id), s)
+			}
 			l.removeEntry(id, l.entries[id])
 		}
+	case kindEndedIDs:
+		for _, hash := range r.hashes {
+			l.noteEnded(hash, s)
+		}
 	}
 }
 
@@ -353,7 +365,7 @@
 	if err := l.flush(); err != nil {
 		return err
 	}
-	if l.usedBytes()+need > l.maxBytes || !l.reserveHolds(m.ID) {
+	if l.usedBytes()+need > l.maxBytes || !l.reserveHolds(m.ID) || !l.hasRoomForEnds() {
 		return ErrFull
 	}
 	l.lastSeq++
@@ -546,9 +558,10 @@
 	return nil
 }
 
-// removeDeadSegments removes the oldest segments as long as they hold no entry's newest record.
+// removeDeadSegments removes the oldest segments as long as they hold no entry's newest record and no ended ID that must
+// still be known.
 func (l *Ledger) removeDeadSegments() {
-	for len(l.segments) > 1 && l.segments[0].liveEntries == 0 {
+	for len(l.segments) > 1 && l.mayForget(l.segments[0]) {
 		if !l.removeOldest() {
 			return
 		}
@@ -565,13 +578,14 @@
 	return true
 }
 
-// wastedBytes returns how many bytes of the segments are not used by the newest record of an entry.
+// wastedBytes returns how many bytes of the segments a copy of the newest records of all entries, and of the ended IDs,
+// would not use.
 func (l *Ledger) wastedBytes() int64 {
 	sum := l.usedBytes() - l.foreignBytes - l.listBytes - l.reserveBytes()
 	for _, s := range l.segments {
 		sum -= s.liveBytes
 	}
-	return sum
+	return sum - int64(len(l.ended.endedAt)*idHashBytes)
 }
 
 // compact copies the entries out of the oldest segments and removes those, each of the present segments at most once.
@@ -592,6 +606,10 @@
 				return
 			}
 		}
+		if err := l.copyEndedIDs(oldest); err != nil {
+			l.log.Warn("compacting the ledger failed", "segment", oldest.number, "err", err)
+			return
+		}
 		if !l.removeOldest() {
 			return
 		}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -24,7 +24,7 @@
 
 func openLedger(t testing.TB, dir string, limit int64) *Ledger {
 	t.Helper()
-	l, err := Open(dir, limit, discardLog)
+	l, err := Open(dir, limit, 0, discardLog)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -335,7 +335,7 @@
 }
 
 func TestMissingDirectory(t *testing.T) {
-	if _, err := Open(filepath.Join(t.TempDir(), "none"), testLimit, discardLog); err == nil {
+	if _, err := Open(filepath.Join(t.TempDir(), "none"), testLimit, 0, discardLog); err == nil {
 		t.Error("no error for a missing directory")
 	}
 }
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -23,6 +23,7 @@
 	kindNotice                         // a message's end, of which the platform has to be notified
 	kindEnd                            // messages, notices or outages that need nothing more
 	kindOutage                         // an endpoint's outage; older versions count it as broken and go on
+	kindEndedIDs                       // IDs of ended messages, copied; older versions count it as broken and go on
 )
 
 // record is the content of a record of any kind. The kind determines which fields are used.
@@ -40,7 +41,8 @@
 	attempt        attempt // in a call or an outage: when and where; in a message: the earliest that may have run
 	dead           bool
 	retryAfter     time.Duration
-	rate           float64 // in an outage
+	rate           float64  // in an outage
+	hashes         []idHash // of ended IDs
 }
 
 var (
@@ -120,6 +122,10 @@
 		buf = binary.AppendUvarint(buf, r.seq)
 		buf = appendAttempt(buf, r.attempt)
 		buf = binary.AppendUvarint(buf, uint64(max(0, r.rate*rateScale)))
+	case kindEndedIDs:
+		for _, hash := range r.hashes {
+			buf = binary.BigEndian.AppendUint64(buf, uint64(hash))
+		}
 	}
 	return buf
 }
@@ -275,6 +281,15 @@
 	return list
 }
 
+// hashes reads all hashes that are left.
+func (p *payloadReader) hashes() []idHash {
+	var list []idHash
+	for ; len(p.data) >= idHashBytes; p.data = p.data[idHashBytes:] {
+		list = append(list, idHash(binary.BigEndian.Uint64(p.data)))
+	}
+	return list
+}
+
 func (p *payloadReader) attempt() attempt {
 	return attempt{number: int(p.uint()), startedAt: time.UnixMilli(p.int()), host: p.string()}
 }
@@ -329,6 +344,8 @@
 		r.seq = p.uint()
 		r.attempt = p.attempt()
 		r.rate = float64(p.uint()) / rateScale
+	case kindEndedIDs:
+		r.hashes = p.hashes()
 	default:
 		return record{}, false
 	}
--- a/internal/ledger/reserve.go
+++ b/internal/ledger/reserve.go
@@ -155,6 +155,7 @@
 		return err
 	}
 	l.reserve.clear()
+	l.reserveSegment.endedIDs = nil
 	if len(l.unwrittenEnds) > 0 {
 		if err := l.appendAndApply(record{kind: kindEnd, ids: l.unwrittenEnds}); err != nil {
 			return err
