ledger: one process to a state directory, by a lock on its newest segment

What callers saw: an old process that was stopped and taken for gone woke up while a new one worked on its folder, and both sent what the folder owed. Cause: nothing kept a second process from the folder.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,7 +1,7 @@
 // Package ledger keeps in the state directory what the sender must not lose when its process ends: the accepted
 // messages, the calls made for them, their ends, and the notices that the platform has not accepted yet. It owns that
 // directory and the limit on its size. It must never decide what becomes of a message, exceed the limit, or be used
-// by two goroutines at once.
+// by two goroutines or processes at once.
 //
 // The directory holds numbered segments of checksummed records (see record.go). Only the newest segment is written
 // to. The oldest is removed once nothing in it is needed any more. Compaction gets there by copying: it writes what
@@ -140,7 +140,7 @@
 
 // Open reads the directory, whose files may use up to maxBytes, and starts a new segment. Broken records are logged,
 // counted and skipped. The ID of a message is known for idRetention after its end, also to later processes; 0 means that
-// it is forgotten at once.
+// it is forgotten at once. Open waits for another process that holds the directory to end, see ErrInUse.
 func Open(dir string, maxBytes int64, idRetention time.Duration, log *slog.Logger) (*Ledger, error) {
 	l := &Ledger{
 		dir:         dir,
@@ -152,6 +152,11 @@
 
 		reserveSegment: &segment{path: filepath.Join(dir, ReserveFile)},
 	}
+	locks, err := lockDirectory(dir)
+	if err != nil {
+		return nil, err
+	}
+	defer closeAll(locks)
 	files, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
@@ -550,6 +555,10 @@
 	if err != nil {
 		return fmt.Errorf("ledger: %w", err)
 	}
+	if !lockFile(f) { // a process that starts looks at it; the next attempt succeeds
+		f.Close()
+		return errors.Join(ErrInUse, os.Remove(path))
+	}
 	if l.file != nil {
 		l.file.Close()
 	}
