lifecycle: one place decides what may be called, ended and told; late bytes are dropped

What callers saw: a call arrived after the notice of its message. Causes: a call was written with a few ms left, so that a slow way delivered it behind the notice; the check of a call and the write of its last byte were apart; only the oldest call of a message was recalled; a connection that was given up went on delivering what the kernel had accepted; a client's connection closed while its withdrawal was still queued. Change: internal/lifecycle holds each message's state; the exchange, the endpoint side at the last byte, and whoever tells of an end ask it. Violations are counted and logged. The last byte is written under the lock that an end needs; what has not arrived is dropped by a reset; no call is made in a message's last 50 ms; calls to an endpoint that left the list or moved are recalled at once, not in the next step.

--- a/cmd/eiderhaven/service.go
+++ b/cmd/eiderhaven/service.go
@@ -322,7 +322,7 @@
 // logCounters logs the counters of all parts.
 func (s *service) logCounters() {
 	in := &s.intake.Counts
-	s.log.Info("counters", "exchange", s.exchange.Counts(), "connections", &s.pool.Counts,
+	s.log.Info("counters", "exchange", s.exchange.Counts(), "lifecycle", s.exchange.Lifecycles(), "connections", &s.pool.Counts,
 		slog.Group("intake", "requests", in.Requests.Load(), "health", in.HealthChecks.Load(),
 			"submitted", in.Submitted.Load(), "rejected", in.Rejected.Load(), "gone", in.ClientsGone.Load()),
 		slog.Group("discovery", "lists", s.registry.Lists.Load(), "failed", s.registry.Failed.Load(), "unasked", s.registry.Unasked.Load(),
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"eiderhaven/internal/ledger"
+	"eiderhaven/internal/lifecycle"
 	"eiderhaven/internal/message"
 	"eiderhaven/rules"
 )
@@ -50,7 +51,26 @@
 	// LastUse means that the connection is to be closed after the call, unless it carries no other.
 	LastUse bool
 
-	inFlight *callInFlight
+	inFlight   *callInFlight
+	lifecycles []*lifecycle.Message // of Items
+}
+
+// MayWrite reports whether the last byte of the call may be written now: all of its messages may be called. The endpoint
+// side asks right before it writes that byte, while it holds off Cancel and Recall.
+func (c *Call) MayWrite(now time.Time) bool {
+	for _, l := range c.lifecycles {
+		if l.MayCall(now) != lifecycle.NotDenied {
+			return false
+		}
+	}
+	return true
+}
+
+// NoteWritten checks, right after the last byte was written, that this was allowed.
+func (c *Call) NoteWritten() {
+	for _, l := range c.lifecycles {
+		l.NoteCalled()
+	}
 }
 
 // Result is how a call ended.
@@ -140,6 +160,7 @@
 	classes   map[string]int // index in the settings, by name
 	tenants   map[string]int // index in the settings, by name
 
+	lifecycles    *lifecycle.Guard
 	sender        *rules.Sender
 	held          map[string]*heldMessage     // by ID
 	unconfirmed   map[string]*unconfirmedItem // messages that are over by a response that may be another call's, by ID
@@ -160,6 +181,7 @@
 // heldMessage is a message between its acceptance and its end.
 type heldMessage struct {
 	message      *message.Message
+	lifecycle    *lifecycle.Message
 	attempts     int
 	mayHaveRunAt time.Time // when the earliest attempt that may have run was made; zero if there was none
 	mayHaveRunOn rules.EndpointID
@@ -176,6 +198,7 @@
 		startedAt:    time.Now(),
 		classes:      map[string]int{},
 		tenants:      map[string]int{},
+		lifecycles:   lifecycle.New(cfg.Ledger, cfg.Log),
 		sender:       rules.New(*cfg.Settings),
 		held:         map[string]*heldMessage{},
 		unconfirmed:  map[string]*unconfirmedItem{},
@@ -225,7 +248,7 @@
 func (x *Exchange) restore(p ledger.PendingMessage) {
 	x.counts.Recovered++
 	m := p.Message
-	h := &heldMessage{message: m, attempts: p.Attempts}
+	h := &heldMessage{message: m, lifecycle: x.lifecycles.Start(m.ID, m.Deadline), attempts: p.Attempts}
 	x.held[m.ID] = h
 	class, known := x.classes[m.Class]
 	if !known {
@@ -295,21 +318,8 @@
 	}
 }
 
-// Withdraw ends a message whose client disconnected before it was told that the message was accepted.
-func (x *Exchange) Withdraw(id string) {
-	x.post(func() {
-		if h := x.held[id]; h != nil {
-			x.counts.Withdrawn++
-			x.finish(h)
-			x.recallCall(hasMessage(h.message)) // nothing may reach an endpoint from now on
-			x.events = append(x.events, rules.Withdrawn{ID: rules.MessageID(id)})
-		} else if item := x.unconfirmed[id]; item != nil {
-			x.counts.Withdrawn++
-			delete(x.unconfirmed, id)
-			x.finish(item.held)
-		}
-	})
-}
+// Lifecycles returns the guard that decides what may happen to messages. Its counters may be read at any time.
+func (x *Exchange) Lifecycles() *lifecycle.Guard { return x.lifecycles }
 
 // Finish reports the result of a call.
 func (x *Exchange) Finish(c *Call, r Result) { x.post(func() { x.onCallFinished(c.inFlight, r) }) }
@@ -317,12 +327,15 @@
 // ApplyListing passes on a list, or changes to it, from the registry.
 func (x *Exchange) ApplyListing(l Listing) { x.post(func() { x.applyListing(l) }) }
 
-// applyListing updates the directory and closes idle connections to endpoints that left the list or moved.
+// applyListing updates the directory. It closes idle connections to endpoints that left the list or moved, and recalls
+// calls to them that are not written.
 func (x *Exchange) applyListing(l Listing) {
 	update, unreachable := x.directory.update(l)
 	x.events = append(x.events, update)
 	for _, p := range unreachable {
 		x.cfg.Caller.CloseIdle(p)
+		// Another process may listen at the address by now.
+		x.recallCalls(func(call *callInFlight) bool { return call.request.To == p })
 	}
 }
 
@@ -355,6 +368,7 @@
 func (x *Exchange) NoticesAccepted(ids []string) {
 	x.post(func() {
 		x.counts.NoticesAccepted += len(ids)
+		x.trace("notices accepted", func() []any { return []any{"ids", ids} })
 		x.countRecordError(x.cfg.Ledger.RecordNoticesAccepted(ids...))
 	})
 }
--- a/internal/exchange/unconfirmed.go
+++ b/internal/exchange/unconfirmed.go
@@ -27,6 +27,7 @@
 		return
 	}
 	m := item.held.message
+	item.held.lifecycle.Suspend()
 	delete(x.held, m.ID)
 	x.unconfirmed[m.ID] = item
 	if due := x.unconfirmedDue(item); x.firstUnconfirmedDue < 0 || due < x.firstUnconfirmedDue {
@@ -87,16 +88,24 @@
 	if x.unconfirmed[id] != item { // it has ended meanwhile
 		return
 	}
-	delete(x.unconfirmed, id)
 	if confirmed {
 		x.countEnd(item.result)
-		x.finish(item.held)
+		x.finish(item.held, endCause(item.result))
 		return
 	}
+	delete(x.unconfirmed, id)
 	x.trace("response contradicted", func() []any { return []any{"id", id, "attempt", item.attempt.number} })
 	x.revive(call, item.held)
 }
 
+// endCause returns the log's word for the end of a message that is over by the result of a call.
+func endCause(r ItemResult) string {
+	if r.Outcome == rules.OK {
+		return "delivered"
+	}
+	return "finished elsewhere"
+}
+
 // countEnd counts a message that is over by the result of a call.
 func (x *Exchange) countEnd(r ItemResult) {
 	if r.Outcome == rules.OK {
@@ -108,6 +117,9 @@
 
 // revive gives the module a message back whose end was taken from another call's response. Its attempt may have run.
 func (x *Exchange) revive(call *callInFlight, h *heldMessage) {
+	if !h.lifecycle.Revive() {
+		return
+	}
 	m := h.message
 	h.noteMayHaveRun(x.wallTime(call.sentAt), call.endpoint)
 	x.held[m.ID] = h
@@ -135,7 +147,6 @@
 	for id, item := range x.unconfirmed {
 		due := x.unconfirmedDue(item)
 		if due <= now {
-			delete(x.unconfirmed, id)
 			x.countEnd(item.result)
 			x.notify(item.held, ledger.Notice{ID: id, Dead: true})
 		} else if x.firstUnconfirmedDue < 0 || due < x.firstUnconfirmedDue {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -360,7 +360,7 @@
 	c.buf = http1.AppendResponse(c.buf[:0], resp.status, resp.fields, []byte(resp.body))
 	if _, err := c.nc.Write(c.buf); err != nil {
 		if acceptedID != "" {
-			s.cfg.Exchange.Withdraw(acceptedID)
+			<-s.cfg.Exchange.Withdraw(acceptedID)
 		}
 		s.Counts.ClientsGone.Add(1)
 		return false
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -49,7 +49,7 @@
 	answer := s.cfg.Exchange.Submit(m)
 	// A client that had to wait too long may have disconnected. It then counts the message as not accepted.
 	if answer.Verdict == exchange.Accepted && time.Since(arrived) > clientTimeout && c.disconnected() {
-		s.cfg.Exchange.Withdraw(m.ID)
+		<-s.cfg.Exchange.Withdraw(m.ID)
 		return response{}, ""
 	}
 	if answer.Verdict == exchange.Accepted {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -121,7 +121,7 @@
 	log            *slog.Logger
 	entries        map[string]*entry // by ID of the message, or outageKey
 	ended          endedIDs
-	segments       []*segment        // oldest first; the last one is written to
+	segments       []*segment // oldest first; the last one is written to
 	file           *os.File
 	foreignBytes   int64 // files in the directory that do not belong to the ledger
 	listBytes      int64 // reserved for the list of endpoints
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -174,11 +174,7 @@
 		j.setReadTimeout(0)
 		rest = c.buf[last:]
 	}
-	if !j.commit() {
-		return false
-	}
-	_, err := c.nc.Write(rest)
-	return err == nil
+	return j.writeLast(c.nc, rest)
 }
 
 // readResponse waits for the final response to a call. Once a response has begun, the rest must follow within
--- a/internal/outbound/job.go
+++ b/internal/outbound/job.go
@@ -1,26 +1,29 @@
 // This file owns a call in progress: how it is cancelled or recalled, and the moment from which it counts as written. It
-// must never write to a connection.
+// must never write the last byte of a call that has been cancelled, or of a message that has ended.
 
 package outbound
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"eiderhaven/internal/exchange"
+	"eiderhaven/internal/socket"
 )
 
 // job is a call in progress, with what is needed to cancel it.
 type job struct {
-	call          *exchange.Call
-	mu            sync.Mutex
-	cancelled     bool // by Cancel or Recall
-	committed     bool // its last byte has been or is being written
-	missedWriteBy bool // the call's WriteBy had passed before that
-	nc            net.Conn
-	cancelDial    context.CancelFunc
+	call       *exchange.Call
+	mu         sync.Mutex
+	cancelled  bool // by Cancel or Recall
+	committed  bool // its last byte has been or is being written
+	denied     bool // it could not be written in time, or one of its messages may not be called any more
+	nc         net.Conn
+	cancelDial context.CancelFunc
 }
 
 // pastDeadline, set as a deadline, makes a blocked read or write return at once.
@@ -33,14 +36,20 @@
 	j.cancelLocked()
 }
 
-// cancelLocked interrupts whatever the call waits for. It must be called with the lock held.
+// cancelLocked interrupts whatever the call waits for. Bytes that have not arrived at the other side's machine are
+// dropped: over a way that is cut or slow they could arrive long after the end of the call. It must be called with the
+// lock held.
 func (j *job) cancelLocked() {
 	j.cancelled = true
 	if j.cancelDial != nil {
 		j.cancelDial()
 	}
-	if j.nc != nil {
-		j.nc.SetDeadline(pastDeadline)
+	if j.nc == nil {
+		return
+	}
+	j.nc.SetDeadline(pastDeadline)
+	if j.committed && socket.HasUnsentBytes(j.nc) {
+		socket.Reset(j.nc)
 	}
 }
 
@@ -64,14 +73,62 @@
 	return !j.cancelled
 }
 
-// commit marks the call as written, right before its last byte is. It returns false if the call has been cancelled or
-// its WriteBy has passed; the last byte must then not be written.
-func (j *job) commit() bool {
+// progress is how far an attempt to write the rest of a call has come.
+type progress int
+
+const (
+	stopped progress = iota // the last byte was not written and never will be
+	blocked                 // the kernel takes no more bytes for now
+	partial                 // some bytes were written, or a signal came first
+	written                 // the last byte was written
+)
+
+// writeLast writes the rest of a call, with its last byte. It reports whether that byte was written: never after Cancel,
+// Recall, the call's WriteBy, or the end of one of its messages. See writeOnce.
+func (j *job) writeLast(nc net.Conn, rest []byte) bool {
+	raw := socket.Raw(nc)
+	if raw == nil { // without a socket, as in tests
+		return j.writeOnce(nc.Write, &rest) == written
+	}
+	state := stopped
+	err := raw.Write(func(fd uintptr) (done bool) {
+		for state = partial; state == partial; {
+			state = j.writeOnce(func(b []byte) (int, error) { return syscall.Write(int(fd), b) }, &rest)
+		}
+		return state != blocked
+	})
+	return err == nil && state == written
+}
+
+// writeOnce checks whether the call may be written and makes one attempt to write its rest, which must not block. The lock
+// is held from the check until the kernel has the bytes: if the thread is held up in between, so is whoever ends the call,
+// and nobody hears of the end before the last byte or after it.
+func (j *job) writeOnce(write func([]byte) (int, error), rest *[]byte) progress {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.missedWriteBy = !j.call.WriteBy.IsZero() && time.Now().After(j.call.WriteBy)
-	j.committed = !j.cancelled && !j.missedWriteBy
-	return j.committed
+	if !j.mayWriteLocked() {
+		return stopped
+	}
+	n, err := write(*rest)
+	*rest = (*rest)[max(n, 0):]
+	switch {
+	case len(*rest) == 0:
+		j.committed = true
+		j.call.NoteWritten()
+		return written
+	case errors.Is(err, syscall.EAGAIN):
+		return blocked
+	case err == nil || errors.Is(err, syscall.EINTR):
+		return partial
+	}
+	return stopped
+}
+
+// mayWriteLocked reports whether the last byte of the call may be written now. It must be called with the lock held.
+func (j *job) mayWriteLocked() bool {
+	now := time.Now()
+	j.denied = !j.call.WriteBy.IsZero() && now.After(j.call.WriteBy) || !j.call.MayWrite(now)
+	return !j.cancelled && !j.denied
 }
 
 // setReadTimeout makes reads fail after this time, or never if it is 0. It changes nothing on a cancelled call.
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -205,7 +205,7 @@
 	}
 }
 
-// finishUnsent finishes a call that was not written completely. A call that was cancelled or missed its WriteBy gets
+// finishUnsent finishes a call that was not written completely. A call that was cancelled or denied gets
 // the outcome for that instead of the given one.
 func (p *Pool) finishUnsent(j *job, outcome rules.Outcome) {
 	r := exchange.ItemResult{Outcome: outcome}
@@ -213,7 +213,7 @@
 	switch {
 	case j.cancelled:
 		r.Outcome = rules.Cancelled
-	case j.missedWriteBy:
+	case j.denied:
 		r = exchange.ItemResult{Outcome: rules.NotSent, Recalled: true}
 	}
 	j.mu.Unlock()
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,6 +26,9 @@
 
 	minDivisor = 1e-3 // seconds, or calls a second; smaller divisors are raised to it, to keep quotients finite
 
+	// No call is made for a message with less time left: over a slow way it could arrive after the end.
+	lateCallMargin = 50 * time.Millisecond
+
 	// A failed watch is retried after this part of the watch interval, with jitter.
 	watchRetryDivisor = 8
 )
@@ -100,7 +103,7 @@
 // maySend is the guard that every send passes. It enforces the rules whatever the plan proposes.
 func (s *Sender) maySend(message *message, endpoint *endpointState) bool {
 	mayNow := s.now >= message.notBefore && !message.done() && len(message.inFlight) == 0 &&
-		s.now < s.answerDeadline(message) && !s.exhausted(message)
+		s.now < s.answerDeadline(message)-lateCallMargin && !s.exhausted(message)
 	return mayNow && !s.unavailable(endpoint) && endpoint.destination == message.destination &&
 		withinDedupScope(message, endpoint) && (message.orderQueue == nil || s.nextInOrder(message))
 }
