intake: requests of a client that has left are not passed on

What callers saw: a client closed its connection with much unread, and its requests were sent on afterwards. Cause: what lay in the buffer was read and accepted one by one until the write of an answer failed. Change: before a message is passed on the kernel is asked what the client has said about its end. After a reset nothing is passed on; behind an orderly end several requests are refused with 503, which is harmless to a client that still reads.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -215,6 +215,7 @@
 	br          *bufio.Reader
 	buf         []byte // for responses, reused
 	connectedAt time.Time
+	leavesMore  bool // it has ended its sending with several requests unanswered
 
 	state     state     // guarded by the server's lock, as are the next three fields
 	idleSince time.Time // when it connected or, once it is trusted, last became idle
@@ -417,6 +418,31 @@
 	return false
 }
 
+// departure is whether a client has left before its request was passed on.
+type departure int
+
+const (
+	stays      departure = iota
+	hasGone              // it has reset the connection: nobody reads an answer
+	leavesMore           // it has ended its sending behind several requests
+)
+
+// departureOf tells whether a client has left. A client that writes several requests at once and closes the connection does
+// not learn what becomes of them, so they must not be accepted. The kernel cannot tell it from one that still reads, so
+// each is refused, which is harmless to both. A single request with the end of the sending behind it is served.
+func (s *Server) departureOf(c *client) departure {
+	switch socket.Peer(c.nc) {
+	case socket.PeerGone:
+		return hasGone
+	case socket.PeerClosed:
+		c.leavesMore = c.leavesMore || c.br.Buffered() > 0 || socket.HasUnreadBytes(c.nc)
+	}
+	if c.leavesMore {
+		return leavesMore
+	}
+	return stays
+}
+
 // disconnected reports whether the client has closed its connection.
 func (c *client) disconnected() bool {
 	c.nc.SetReadDeadline(time.Now().Add(disconnectCheckTime))
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -45,6 +45,12 @@
 	if err != nil {
 		return s.errorResponse(400, err.Error()), ""
 	}
+	switch s.departureOf(c) {
+	case hasGone:
+		return response{}, ""
+	case leavesMore:
+		return s.errorResponse(503, "the connection was ended behind several requests"), ""
+	}
 	s.Counts.Submitted.Add(1)
 	answer := s.cfg.Exchange.Submit(m)
 	// A client that had to wait too long may have disconnected. It then counts the message as not accepted.
