rig: a soak of ends, red: delivered messages are called again as their connection ends

The judge now checks that no call arrives after an answer that refuses, a notice, or a 200 that was written.

--- a/lab/live/load.go
+++ b/lab/live/load.go
@@ -46,6 +46,7 @@
 	Sender   int
 	ID       string
 	Class    int
+	Dest     int
 	Deadline time.Time // of the message
 	Begun    time.Time
 	Over     time.Time
@@ -354,6 +355,7 @@
 		Sender:   sender % len(l.targets),
 		ID:       id,
 		Class:    m.Class,
+		Dest:     m.Dest,
 		Deadline: l.loop.RealTime(m.Deadline),
 		Begun:    begun,
 		Over:     time.Now(),
--- /dev/null
+++ b/lab/rig/afterend.go
@@ -0,0 +1,58 @@
+// This file owns the check that nothing is sent for a message after its end was told of.
+
+package rig
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// ruleAfterEnd is the name of the rule in violations.
+const ruleAfterEnd = "sent_after_end"
+
+// checkAfterEnd checks for one message that no call arrives after its end: an answer that refuses or fails it, a notice,
+// or a 200 that an endpoint has written, unless a kill may have come before the sender read that.
+func (r *records) checkAfterEnd(id string, m *message) []Violation {
+	for _, c := range m.calls {
+		endedAt, end := r.endBefore(m, c.ReceivedAt.Add(-limitSlack))
+		if end == "" {
+			continue
+		}
+		return []Violation{{
+			Rule:   ruleAfterEnd,
+			At:     c.ReceivedAt,
+			Sender: c.Sender,
+			ID:     id,
+			Text:   fmt.Sprintf("called %v after its end (%s)", c.ReceivedAt.Sub(endedAt).Round(time.Millisecond), end),
+		}}
+	}
+	return nil
+}
+
+// endBefore returns the end of a message that was told of before a time, if there was one.
+func (r *records) endBefore(m *message, before time.Time) (at time.Time, end string) {
+	status := m.request.Status
+	switch {
+	case status >= http.StatusBadRequest && m.request.Over.Before(before):
+		return m.request.Over, fmt.Sprint("answer ", status)
+	case !m.noticed.IsZero() && m.noticed.Before(before):
+		return m.noticed, "notice"
+	case !m.delivered.IsZero() && m.delivered.Before(before) &&
+		!r.exitedBetween(m.request.Sender, m.delivered, m.delivered.Add(limitSlack)):
+		return m.delivered, "delivered"
+	}
+	return time.Time{}, ""
+}
+
+// selfReported returns what a sender has logged about its own lifecycle checks.
+func selfReported(sender int, log string) []Violation {
+	var found []Violation
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, "lifecycle violated") {
+			found = append(found, Violation{Rule: "lifecycle", Sender: sender, Text: strings.TrimSpace(line)})
+		}
+	}
+	return found
+}
--- a/lab/rig/judge.go
+++ b/lab/rig/judge.go
@@ -74,6 +74,7 @@
 	for id, m := range messages {
 		found = append(found, r.checkFinished(id, m)...)
 		found = append(found, r.checkRepeats(id, m)...)
+		found = append(found, r.checkAfterEnd(id, m)...)
 	}
 	found = append(found, r.checkAnswers()...)
 	found = append(found, r.checkDrains()...)
--- a/lab/rig/plan.go
+++ b/lab/rig/plan.go
@@ -56,6 +56,10 @@
 	Longest  scenario.Duration `toml:"longest"`
 	Crowd    int               `toml:"crowd"`   // every second seed, on average, has so many IdleConns more
 	Proxies  bool              `toml:"proxies"` // the shares of the proxies' faults, each 0 to that of the plan
+
+	FolderFailures int     `toml:"folder_failures"` // for a while a sender's folder takes nothing
+	Repeats        float64 `toml:"repeats"`         // share of accepted messages whose ID is handed in once more
+	Leavers        int     `toml:"leavers"`         // clients that write many requests and leave
 }
 
 // Values of Signal.Kind.
--- a/lab/rig/run.go
+++ b/lab/rig/run.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -37,19 +38,20 @@
 
 // Result holds the violations and totals of a run.
 type Result struct {
-	Seed             uint64         `json:"seed"`
-	Violations       []Violation    `json:"breaks"`
-	Overloads        []overload     `json:"falls"` // during recovery, also those that break no rule
-	Outages          int            `json:"outages"`
-	Margins          []float64      `json:"margins"` // of each outage that ended, see package margin
-	Accepted         int            `json:"taken"`
-	Submitted        int            `json:"handed"`
-	Signals          map[string]int `json:"signals"` // by kind
-	ReceiverCounts   live.Counts    `json:"receivers"`
-	ProxyCounts      ProxyCounts    `json:"proxies"`
-	IdleConns        int            `json:"crowd"`            // to each sender
-	ClientDelayP99Ms float64        `json:"load_late_p99_ms"` // from planned to started requests; large on a busy machine
-	ReceiverLagMs    float64        `json:"receivers_lag_ms"` // longest wait of a call for the receivers; likewise
+	Seed             uint64            `json:"seed"`
+	Violations       []Violation       `json:"breaks"`
+	Overloads        []overload        `json:"falls"` // during recovery, also those that break no rule
+	Outages          int               `json:"outages"`
+	Margins          []float64         `json:"margins"` // of each outage that ended, see package margin
+	Accepted         int               `json:"taken"`
+	Submitted        int               `json:"handed"`
+	Signals          map[string]int    `json:"signals"` // by kind
+	ReceiverCounts   live.Counts       `json:"receivers"`
+	ProxyCounts      ProxyCounts       `json:"proxies"`
+	Disturbances     DisturbanceCounts `json:"disturbances"`
+	IdleConns        int               `json:"crowd"`            // to each sender
+	ClientDelayP99Ms float64           `json:"load_late_p99_ms"` // from planned to started requests; large on a busy machine
+	ReceiverLagMs    float64           `json:"receivers_lag_ms"` // longest wait of a call for the receivers; likewise
 }
 
 // fleet is a run in progress.
@@ -66,6 +68,7 @@
 	idleConns []net.Conn // held open without being used
 	parts     drawnParts
 	proxies   *proxySet
+	disturber *disturber
 
 	mu              sync.Mutex
 	requests        []live.RequestRecord
@@ -187,6 +190,7 @@
 // play submits the scenario's messages and sends the signals, waits until every accepted message is due, and evaluates
 // the run.
 func (f *fleet) play(ctx context.Context) (*Result, error) {
+	f.disturber = newDisturber(f)
 	var targets []string
 	for _, d := range f.daemons {
 		targets = append(targets, d.clientAddr)
@@ -201,6 +205,7 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.requests = append(f.requests, r)
+			f.disturber.onRequestEnd(ctx, r)
 		},
 	})
 	if err != nil {
@@ -213,12 +218,14 @@
 	defer receiversDone.Wait()
 	defer stopReceivers()
 	started := time.Now()
+	f.disturber.start(ctx, started)
 	var signalsDone sync.WaitGroup
 	for i, x := range f.signals {
 		signalsDone.Go(func() { f.sendSignal(ctx, i, x, started) })
 	}
 	loadResult := load.Run(ctx)
 	signalsDone.Wait()
+	f.disturber.wg.Wait()
 	if err := f.waitForDeadlines(ctx); err != nil {
 		return f.partialResult(), err
 	}
@@ -331,6 +338,7 @@
 	for i, d := range f.daemons {
 		rec.notices = append(rec.notices, f.receivers.Notices(i))
 		rec.processes = append(rec.processes, d.processSpans())
+		f.processFailures = append(f.processFailures, selfReported(i, d.logText())...)
 		if d.crashed() {
 			f.processFailures = append(f.processFailures, Violation{
 				Rule: "crash", At: time.Now(), Sender: i, Text: "the process ended though nobody told it to",
@@ -341,10 +349,13 @@
 	defer f.watcher.mu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	rec.requests = f.requests
+	rec.requests = append(slices.Clone(f.requests), f.disturber.left...)
+	broken := append(f.processFailures, rec.violations()...)
+	broken = append(broken, f.disturber.checkRepeatedIDs()...)
 	result := &Result{
 		Seed:             f.opts.Seed,
-		Violations:       append(f.processFailures, rec.violations()...),
+		Violations:       broken,
+		Disturbances:     f.disturber.counts,
 		Overloads:        f.watcher.overloads,
 		Outages:          len(f.watcher.outages),
 		Margins:          f.watcher.margins(),
