exchange: a message that any response has ended is never called again

What callers saw: a message that an endpoint had answered with 200 was sent on up to 3.4 s later. Connections end all the time under faults, copies are rare. Change: a message that is over by a response is never called again. Its notice is recorded at once; if the response is contradicted, or the process ends, the notice goes out: bounced where a repeat is harmless, so that the client comes again, else dead. A notice does a delivered message no harm.

--- a/internal/exchange/unconfirmed.go
+++ b/internal/exchange/unconfirmed.go
@@ -1,5 +1,6 @@
 // This file owns the attempts whose response may be another call's: what is done at once, what waits until the response
-// is confirmed, and what happens if it is not. It must never end a message by such a response without a notice.
+// is confirmed, and what happens if it is not. It must never end a message by such a response without a notice, nor call a
+// message again that is over by any response: it has been delivered, unless the response was another call's.
 
 package exchange
 
@@ -19,8 +20,7 @@
 }
 
 // addUnconfirmed keeps what a response says of a message until the response is confirmed. A message that is over by the
-// response is no longer held, but its ledger record stays as that of a call without an outcome, so that a next process
-// takes it for one that may have run.
+// response is no longer held. Its notice is recorded, so that a next process posts it and makes no further call.
 func (x *Exchange) addUnconfirmed(call *callInFlight, item *unconfirmedItem) {
 	call.unconfirmed = append(call.unconfirmed, item)
 	if !item.ends {
@@ -28,6 +28,7 @@
 	}
 	m := item.held.message
 	item.held.lifecycle.Suspend()
+	x.countRecordError(x.cfg.Ledger.RecordNotice(x.unconfirmedNotice(item.held)))
 	delete(x.held, m.ID)
 	x.unconfirmed[m.ID] = item
 	if due := x.unconfirmedDue(item); x.firstUnconfirmedDue < 0 || due < x.firstUnconfirmedDue {
@@ -55,7 +56,7 @@
 	}
 	for _, item := range call.unconfirmed {
 		if item.ends {
-			x.confirmEnd(call, item, confirmed)
+			x.confirmEnd(item, confirmed)
 		} else {
 			x.confirmAttempt(call, item, confirmed)
 		}
@@ -82,10 +83,10 @@
 	})
 }
 
-// confirmEnd ends a message that is over by a response, or gives it back to the module as one that may have run.
-func (x *Exchange) confirmEnd(call *callInFlight, item *unconfirmedItem, confirmed bool) {
-	id := item.held.message.ID
-	if x.unconfirmed[id] != item { // it has ended meanwhile
+// confirmEnd ends a message that is over by a response. If the response was perhaps another call's, it gets a notice: it
+// is not called again, as most such messages have been delivered.
+func (x *Exchange) confirmEnd(item *unconfirmedItem, confirmed bool) {
+	if x.unconfirmed[item.held.message.ID] != item { // it has ended meanwhile
 		return
 	}
 	if confirmed {
@@ -93,9 +94,19 @@
 		x.finish(item.held, endCause(item.result))
 		return
 	}
-	delete(x.unconfirmed, id)
-	x.trace("response contradicted", func() []any { return []any{"id", id, "attempt", item.attempt.number} })
-	x.revive(call, item.held)
+	notice := x.unconfirmedNotice(item.held)
+	if notice.Dead {
+		x.counts.Dead++
+	} else {
+		x.counts.Bounced++
+	}
+	x.notify(item.held, notice)
+}
+
+// unconfirmedNotice returns the notice of a message that is over by a response which may be another call's. It does no harm
+// to a delivered message. For one that was not delivered, the client may submit a repeatable message again.
+func (x *Exchange) unconfirmedNotice(h *heldMessage) ledger.Notice {
+	return ledger.Notice{ID: h.message.ID, Dead: !x.repeatIsHarmless(h)}
 }
 
 // endCause returns the log's word for the end of a message that is over by the result of a call.
@@ -115,28 +126,6 @@
 	}
 }
 
-// revive gives the module a message back whose end was taken from another call's response. Its attempt may have run.
-func (x *Exchange) revive(call *callInFlight, h *heldMessage) {
-	if !h.lifecycle.Revive() {
-		return
-	}
-	m := h.message
-	h.noteMayHaveRun(x.wallTime(call.sentAt), call.endpoint)
-	x.held[m.ID] = h
-	x.events = append(x.events, rules.Arrived{
-		ID:          rules.MessageID(m.ID),
-		Destination: m.Dest,
-		Class:       x.classes[m.Class],
-		Tenant:      x.tenantIndex(m.Tenant),
-		Prior: rules.PriorAttempts{
-			Count:      h.attempts,
-			MayHaveRun: true,
-			Answered:   true,
-			Endpoint:   h.mayHaveRunOn,
-		},
-	})
-}
-
 // expireUnconfirmed gives messages that are over by an unconfirmed response a notice as their time runs out: later, a
 // message that was not delivered could not get one in time. A notice for one that was delivered does no harm.
 func (x *Exchange) expireUnconfirmed(now time.Duration) {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -21,10 +21,10 @@
 // State is what has become of a message.
 type State int32
 
-// The states, in the order in which a message passes them. An unconfirmed message may become accepted again.
+// The states, in the order in which a message passes them. Not every message is ever unconfirmed.
 const (
 	Accepted    State = iota // recorded; calls may be made
-	Unconfirmed              // over by a response that may be another call's: no call until that is settled
+	Unconfirmed              // over by a response that may be another call's: no call any more
 	Ending                   // its end is decided: no call any more, and nobody may hear of it yet
 	Ended                    // its end is recorded
 )
@@ -62,7 +62,7 @@
 	violations
 )
 
-var violationNames = [violations]string{"sent_after_end", "told_unrecorded", "ended_twice", "revived_after_end"}
+var violationNames = [violations]string{"sent_after_end", "told_unrecorded", "ended_twice"}
 
 func (v Violation) String() string { return violationNames[v] }
 
@@ -148,16 +148,6 @@
 // Suspend notes that the message is over by an unconfirmed response.
 func (m *Message) Suspend() { m.state.CompareAndSwap(int32(Accepted), int32(Unconfirmed)) }
 
-// Revive notes that the response which ended the message was not its own, so that it may be called again. It reports
-// whether that is allowed.
-func (m *Message) Revive() bool {
-	if m.state.CompareAndSwap(int32(Unconfirmed), int32(Accepted)) {
-		return true
-	}
-	m.guard.violated(RevivedAfter, m)
-	return false
-}
-
 // BeginEnd decides the end of the message: no call may be made from now on. It reports whether it has no other end.
 func (m *Message) BeginEnd() bool {
 	if m.State() >= Ending {
