outbound: payments need a quiet connection, and silence proves nothing where copies came

Cause: a call right behind an answer was given that answer's late copy, which counted as confirmed once the connection had been silent for a while, though the call waited in the endpoint's queue; and it did so after the sender had seen that the endpoint copies. Change: a call with a message that must not be repeated needs a connection that has brought nothing for 0.5 s since its last answer, else a new one takes the place of one used lately; an endpoint that has sent copies is not believed for its silence until the sender closes the connection: the message gets a notice. Cost: handshakes where payments are frequent. Three tests that call a payment right behind an answer set that time to 0; what they check is unchanged.

--- a/internal/outbound/confirm.go
+++ b/internal/outbound/confirm.go
@@ -48,6 +48,10 @@
 	// copies responses is then not an endpoint, but on the way to all of them.
 	distrustedCopiers = 2
 
+	// unsafeQuietTime is how long a connection must have brought nothing before it carries a message that must not be
+	// repeated: a copy directly behind a response comes within it, also if the network loses it once.
+	unsafeQuietTime = 500 * time.Millisecond
+
 	// surplusTimeout limits the wait for the rest of a response that nobody asked for.
 	surplusTimeout = 5 * time.Millisecond
 
@@ -247,7 +251,10 @@
 	switch {
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		p.onIdleEnd(c, to, err)
-	case p.checkUnread(c, to):
+	case !p.checkUnread(c, to):
+	case p.copies(to):
+		p.contradict(c, nil) // silence proves nothing where copies have come: the call's own response may still be to come
+	default:
 		p.confirm(c)
 	}
 }
--- a/internal/outbound/confirm_test.go
+++ b/internal/outbound/confirm_test.go
@@ -102,6 +102,7 @@
 func TestLaterResponseIsConfirmedWhenNothingMoreComes(t *testing.T) {
 	ep := listenScripted(t)
 	p := newTestPool(t, nil)
+	p.quietTime = 0 // the calls that hold a message up follow at once
 	ep.firstCall(p)
 	begun := time.Now()
 	for _, heldUp := range []bool{false, true} {
@@ -354,6 +355,7 @@
 	}
 	ep := listenScripted(t)
 	p := newTestPool(t, nil)
+	p.quietTime = 0 // the calls that hold a message up follow at once
 	ep.firstCall(p)
 	ep.call(p, refusalResponse, func(c *exchange.Call) { c.ConfirmSoon = true }, "a")
 	p.waitIdleAt(ep.Addr(), 1)
@@ -410,6 +412,7 @@
 	for _, heldUp := range []bool{false, true} {
 		ep := listenScripted(t)
 		p := newTestPool(t, nil)
+		p.quietTime = 0 // the calls that hold a message up follow at once
 		ep.firstCall(p)
 		begun := time.Now()
 		r, _ := ep.call(p, refusalResponse, func(c *exchange.Call) { c.ConfirmSoon = heldUp }, "a")
@@ -470,3 +473,34 @@
 		}
 	})
 }
+
+// Guards against a payment that ran twice, and one that was lost: it was called on a connection right behind an answer whose
+// second copy came a little later, and the copy was taken for its own answer.
+func TestUnrepeatableCallNeedsAQuietConnection(t *testing.T) {
+	ep := listenScripted(t)
+	p := newTestPool(t, nil)
+	first := ep.firstCall(p)
+	heldUp := func(c *exchange.Call) { c.ConfirmSoon = true }
+	r, got := ep.call(p, okResponse, heldUp, "payment")
+	if r.nc == first.nc || got.Unconfirmed {
+		t.Errorf("got %+v, want it proven on a connection of its own", got.Result)
+	}
+	testkit.Eventually(t, "the other connection made room", func() bool { return ep.OpenConnections() == 1 })
+	p.waitIdleAt(ep.Addr(), 1)
+	time.Sleep(unsafeQuietTime)
+	if again, _ := ep.call(p, okResponse, heldUp, "payment 2"); again.nc != r.nc {
+		t.Error("a connection that has been quiet is not used")
+	}
+}
+
+// Guards against a message that is ended as delivered by a copy: an endpoint that has sent copies is not believed because
+// its connection stays silent until this side closes it.
+func TestSilenceProvesNothingWhereCopiesCame(t *testing.T) {
+	ep := listenScripted(t)
+	p := newTestPool(t, nil)
+	ep.firstCall(p)
+	ep.call(p, okResponse, nil, "a")
+	p.waitIdleAt(ep.Addr(), 1)
+	p.distrust(peerAt(ep.Addr()), true) // by what came on another connection
+	p.wantConfirmation(confirmedCall{id: "a", confirmed: false})
+}
--- a/internal/outbound/observe.go
+++ b/internal/outbound/observe.go
@@ -24,6 +24,7 @@
 	closedByEndpoint                         // while it was idle
 	closedForUnaskedBytes                    // bytes came that belong to no call
 	closedForDistrust                        // its endpoint has sent such bytes before
+	closedForQuiet                           // the next call needs one that has been quiet
 	closedInWrite                            // a call could not be written, or not in time
 	closedWithoutResponse                    // a call was cancelled, or ended without a valid response
 	closedByResponse                         // a response said that it closes the connection
@@ -34,8 +35,8 @@
 var closeReasonNames = [closeReasonCount]string{
 	closedForKeepAlive: "keep_alive", closedOnRequest: "on_request", closedForLimit: "limit",
 	closedForShutdown: "shutdown", closedByEndpoint: "by_endpoint", closedForUnaskedBytes: "unasked_bytes",
-	closedForDistrust: "distrust",
-	closedInWrite:     "in_write", closedWithoutResponse: "no_response", closedByResponse: "by_response",
+	closedForDistrust: "distrust", closedForQuiet: "not_quiet",
+	closedInWrite: "in_write", closedWithoutResponse: "no_response", closedByResponse: "by_response",
 }
 
 func (r closeReason) String() string { return closeReasonNames[r] }
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -48,6 +48,7 @@
 
 	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	minHoldBack time.Duration // initial minHoldBack of each connection
+	quietTime   time.Duration // unsafeQuietTime, but in tests
 	Counts      Counts
 	lastReset   atomic.Int64 // when a connection was last reset during a call, in Unix milliseconds
 }
@@ -64,6 +65,7 @@
 		peers:       peerRecords{records: map[exchange.Peer]*peerRecord{}},
 		dial:        d.DialContext,
 		minHoldBack: defaultMinHoldBack,
+		quietTime:   unsafeQuietTime,
 	}
 }
 
@@ -72,7 +74,7 @@
 	j := &job{call: call}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c := p.popIdle(call.To); c != nil {
+	if c := p.popIdle(call); c != nil {
 		c.next = j
 		c.nc.SetReadDeadline(pastDeadline)
 		return j
@@ -85,16 +87,29 @@
 	return j
 }
 
-// popIdle removes and returns the most recently used idle connection to a peer that need not rest, nil if there is
-// none. It must be called with the lock held.
-func (p *Pool) popIdle(to exchange.Peer) *conn {
+// popIdle removes and returns the most recently used idle connection on which a call may be made, nil if there is none.
+// It must be called with the lock held.
+//
+// A call with a message that must not be repeated needs a connection on which nothing has come for a while since its last
+// response: a copy of that one, which may be late, could be taken for the answer to the call. If there are only others, one
+// of them makes room for a new connection. This costs handshakes where such messages are frequent.
+func (p *Pool) popIdle(call *exchange.Call) *conn {
 	now := time.Now()
-	for _, c := range slices.Backward(p.idle[to]) {
-		if !c.confirmation.mustRest(now) && (p.trustsEndpoints() || c.wasQuiet(now)) {
-			p.removeIdle(to, c)
+	var busyLately *conn
+	for _, c := range slices.Backward(p.idle[call.To]) {
+		switch {
+		case c.confirmation.mustRest(now) || !p.trustsEndpoints() && !c.wasQuiet(now):
+		case call.ConfirmSoon && now.Sub(c.answeredAt) < p.quietTime:
+			busyLately = c
+		default:
+			p.removeIdle(call.To, c)
 			return c
 		}
 	}
+	if busyLately != nil {
+		p.removeIdle(call.To, busyLately)
+		busyLately.endIdle(closedForQuiet)
+	}
 	return nil
 }
 
--- a/internal/outbound/peers.go
+++ b/internal/outbound/peers.go
@@ -122,6 +122,13 @@
 	return n
 }
 
+// copies reports whether an endpoint, or the way to it, has sent more than was asked for lately.
+func (p *Pool) copies(to exchange.Peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.distrusts(to)
+}
+
 // distrusts reports whether connections to an endpoint carry one call each. It must be called with the lock held.
 func (p *Pool) distrusts(to exchange.Peer) bool {
 	now := time.Now()
