rules: what an earlier process accepted and nobody tried is evicted last

Cause: evict and leastValuable know the worth of what waits alone, so each new message took the place of an older one. Change: such messages are evicted only when nothing else may be; new ones are refused in the answer to their clients. The lab's senders tell the module the same. The recording of actions is unchanged.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -266,6 +266,7 @@
 		Destination: m.Dest,
 		Class:       class,
 		Tenant:      x.tenantIndex(m.Tenant),
+		Recovered:   true,
 		Prior:       prior,
 	})
 }
--- a/lab/sender/sender.go
+++ b/lab/sender/sender.go
@@ -130,7 +130,9 @@
 	}
 	for _, held := range h.retained {
 		h.held[held.message.ID] = held
-		h.enqueueEvent(h.arrivedEvent(held, now))
+		arrived := h.arrivedEvent(held, now)
+		arrived.Recovered = true
+		h.enqueueEvent(arrived)
 	}
 	h.retained = nil
 }
--- a/rules/answers.go
+++ b/rules/answers.go
@@ -149,29 +149,44 @@
 }
 
 // evict refuses messages of the destination with the longest backlog before there is no room left for new
-// messages to others.
+// messages to others. What an earlier process has accepted and not tried goes last: its client has been told
+// that it is taken care of, while a new message can be refused in the answer to its client. The cost is that
+// new messages wait for room while such messages wait for a destination that is out.
 func (s *Sender) evict() {
 	for limit := s.settings.MaxHeld - max(1, s.settings.MaxHeld/freeRoomDivisor); len(s.held) > limit; {
-		var longest *destinationState
-		for _, d := range s.backlogged {
-			if s.leastValuable(d) != nil &&
-				(longest == nil || s.backlogSeconds(d) > s.backlogSeconds(longest)) {
-				longest = d
-			}
+		victim := s.evictionVictim(func(g *group) bool { return !g.untriedSinceRestart })
+		if victim == nil {
+			victim = s.evictionVictim(func(*group) bool { return true })
 		}
-		if longest == nil {
+		if victim == nil {
 			return
 		}
-		s.finish(s.leastValuable(longest), EndEvicted)
+		s.finish(victim, EndEvicted)
+	}
+}
+
+// evictionVictim returns the least valuable message in the longest backlog that has one in the given groups.
+func (s *Sender) evictionVictim(among func(*group) bool) *message {
+	var longest *destinationState
+	for _, d := range s.backlogged {
+		if s.leastValuable(d, among) != nil &&
+			(longest == nil || s.backlogSeconds(d) > s.backlogSeconds(longest)) {
+			longest = d
+		}
+	}
+	if longest == nil {
+		return nil
 	}
+	return s.leastValuable(longest, among)
 }
 
-// leastValuable returns the waiting message of a destination that is worth least, among those that may be
-// refused. Of equals it is the newest, as its client has most time left to submit it again.
-func (s *Sender) leastValuable(destination *destinationState) *message {
+// leastValuable returns the waiting message of a destination that is worth least, among those in the given
+// groups that may be refused. Of equals it is the newest, as its client has most time left to submit it
+// again.
+func (s *Sender) leastValuable(destination *destinationState, among func(*group) bool) *message {
 	r := ranking{limit: 1, newestFirst: true, subtrees: &s.subtrees}
 	for _, g := range destination.groups {
-		if m := g.root; s.mayRefuse(m) {
+		if m := g.root; among(g) && s.mayRefuse(m) {
 			value := func(m *message) float64 { return -s.worth(m, s.now) }
 			r.add(g, value, roundingTolerance*m.class.Worth, breakpoints(m.class, s.now))
 		}
--- a/rules/api.go
+++ b/rules/api.go
@@ -148,6 +148,7 @@
 	Class       int           // index in Settings.Classes
 	Tenant      int           // index in Settings.Tenants; one beyond their number has no share
 	OrderKey    string        // used with Class.KeepOrder; empty for no order
+	Recovered   bool          // an earlier process of this sender accepted it
 	TimeLeft    time.Duration // until its deadline
 	Estimate    time.Duration // rough duration of the call; 0 if unknown
 	Prior       PriorAttempts
--- a/rules/backlog.go
+++ b/rules/backlog.go
@@ -24,6 +24,7 @@
 	classIndex, tenant, attemptCount int
 	mayHaveRun                       bool // never set for Safe, where it does not matter
 	mayHaveRunOn                     *endpointState
+	untriedSinceRestart              bool // an earlier process accepted it, and no call was made
 	ready                            bool // neither paused nor behind another message of its order key
 }
 
@@ -143,10 +144,12 @@
 		s.addTimer(&s.pauseTimers, m, m.notBefore)
 	}
 	key := groupKey{
-		classIndex:   m.classIndex,
-		tenant:       m.tenant,
-		attemptCount: m.attemptCount,
-		ready:        m.notBefore <= s.now && (m.orderQueue == nil || m.orderQueue.messages[0] == m),
+		classIndex:          m.classIndex,
+		tenant:              m.tenant,
+		attemptCount:        m.attemptCount,
+		untriedSinceRestart: m.recovered && m.attemptCount == 0,
+
+		ready: m.notBefore <= s.now && (m.orderQueue == nil || m.orderQueue.messages[0] == m),
 	}
 	if m.mayHaveRunSince != never && m.class.Effect != Safe {
 		key.mayHaveRun, key.mayHaveRunOn = true, m.mayHaveRunOn
--- a/rules/backlog_test.go
+++ b/rules/backlog_test.go
@@ -127,7 +127,7 @@
 				c.groups += min(1, len(d.groups)-1)
 			}
 		}
-		got, want := s.leastValuable(d), s.leastValuableBySort(d)
+		got, want := s.leastValuable(d, func(*group) bool { return true }), s.leastValuableBySort(d)
 		if got != want {
 			t.Fatalf("at %v: least valuable is %v, want %v", s.now, describe([]*message{got}), describe([]*message{want}))
 		}
--- a/rules/restart_test.go
+++ b/rules/restart_test.go
@@ -2,7 +2,11 @@
 
 package rules
 
-import "testing"
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
 
 // arriveWithPrior submits a message for which an earlier process made attempts.
 func (b *bench) arriveWithPrior(class int, prior PriorAttempts) (MessageID, []Action) {
@@ -122,3 +126,31 @@
 		t.Errorf("failing for %v, want 5s", b.now-ep.failingSince)
 	}
 }
+
+// Guards against messages that an earlier process accepted and that are returned with no call, as each new one takes the
+// place of one of them: new messages are refused instead.
+func TestUntriedMessagesOutlastNewOnesAfterRestart(t *testing.T) {
+	const held, recovered = 24, 15
+	b := newBench(t, func(s *Settings) { s.Slots, s.MaxHeld = 1, held })
+	b.step(Arrived{ID: "call", Destination: 1, Class: safe, TimeLeft: 10 * sec}) // takes the only slot
+	var events []Event
+	for i := range recovered {
+		events = append(events, Arrived{
+			ID: MessageID(fmt.Sprint("recovered ", i)), Destination: 1, Class: atMostOnce, TimeLeft: 6 * sec, Recovered: true,
+		})
+	}
+	b.step(events...)
+	refused := 0
+	for i := range 2 * held {
+		out := b.step(Arrived{ID: MessageID(fmt.Sprint("new ", i)), Destination: 1, Class: safe, TimeLeft: 10 * sec})
+		for _, r := range actionsOf[Refuse](out) {
+			refused++
+			if strings.HasPrefix(string(r.ID), "recovered") {
+				t.Errorf("%s was evicted by a new message", r.ID)
+			}
+		}
+	}
+	if want := 2*held - (held - held/freeRoomDivisor - recovered - 1); refused != want {
+		t.Errorf("%d messages refused, want %d", refused, want)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -174,6 +174,7 @@
 	tenant          int
 	orderQueue      *orderQueue // nil without an order key
 	deadline        time.Duration
+	recovered       bool // an earlier process accepted it
 	attemptCount    int
 	recalls         int // attempts recalled: they are numbered but not counted as attempts
 	inFlight        []*attempt
@@ -397,6 +398,7 @@
 		classIndex:      e.Class,
 		tenant:          e.Tenant,
 		deadline:        s.now + e.TimeLeft,
+		recovered:       e.Recovered,
 		attemptCount:    e.Prior.Count,
 		mayHaveRunSince: never,
 	}
