--- a/lab/live/connections.go
+++ b/lab/live/connections.go
@@ -94,6 +94,12 @@
 			})
 		}
 	}()
+	var last *model.Call
+	defer func() {
+		if last != nil && r.watcher != nil {
+			r.watcher.ConnectionEnded(last)
+		}
+	}()
 	unread := false
 	defer func() {
 		if unread && r.watcher != nil {
@@ -111,7 +117,10 @@
 			_, _ = nc.Write(http1.AppendResponse(nil, http.StatusServiceUnavailable, closing, nil))
 			return
 		}
-		response := r.handleRequest(ep, conn, sender, req, requests)
+		response, call := r.handleRequest(ep, conn, sender, req, requests)
+		if call != nil {
+			last = call
+		}
 		if response == nil {
 			continue
 		}
@@ -147,16 +156,16 @@
 	}
 }
 
-// handleRequest passes a call to the model, waits for its outcome and returns the response. A nil response means that
+// handleRequest passes a call to the model, waits for its outcome and returns the response and the call. A nil response means that
 // none is sent and the connection stays open; an empty one means that the connection is to be reset.
 func (r *Receivers) handleRequest(ep *receiver.Endpoint, conn *network.Conn, sender int, req request,
-	following <-chan request) []byte {
+	following <-chan request) (response []byte, c *model.Call) {
 	if req.head.Method == "GET" && req.head.Target == "/health/live" {
-		return r.healthResponse(ep)
+		return r.healthResponse(ep), nil
 	}
-	c := r.parseCall(req)
+	c = r.parseCall(req)
 	if c == nil {
-		return emptyResponse(http.StatusBadRequest, nil)
+		return emptyResponse(http.StatusBadRequest, nil), nil
 	}
 	c.Sender = sender
 	outcome := make(chan model.Outcome, 1)
@@ -175,12 +184,12 @@
 		}
 		ep.Receive(c, conn)
 	}) {
-		return []byte{}
+		return []byte{}, c
 	}
 	r.updateCounts(func(n *Counts) { n.Calls++ })
 	select {
 	case o := <-outcome:
-		return r.buildResponse(c, o)
+		return r.buildResponse(c, o), c
 	case _, open := <-following: // the sender closed the connection, or sent a request before it had the response
 		if !open {
 			r.loop.Do(func() {
@@ -192,7 +201,7 @@
 			})
 			r.updateCounts(func(n *Counts) { n.Outcomes["given up"]++ })
 		}
-		return []byte{}
+		return []byte{}, c
 	}
 }
 
--- a/lab/live/receivers.go
+++ b/lab/live/receivers.go
@@ -66,6 +66,7 @@
 	CallReceived(sender int, ep *receiver.Endpoint, c *model.Call)
 	CallAnswered(sender int, ep *receiver.Endpoint, c *model.Call, o model.Outcome)
 	CallAbandoned(sender int, ep *receiver.Endpoint, c *model.Call) // c is nil if the call did not reach the model
+	ConnectionEnded(last *model.Call)                               // the connection on which this call was the last has ended
 	ListPublished(e rules.ListUpdate)
 	Outage(u *receiver.Unit, begins bool)
 	WindowMeasured(u *receiver.Unit, window []receiver.Arrival, allowed float64)
--- a/lab/rig/watch.go
+++ b/lab/rig/watch.go
@@ -24,6 +24,7 @@
 	EndedAt      time.Time `json:"over"` // zero: it was still in flight at the end of the run
 	Outcome      string    `json:"outcome"`
 	RetryAfterMs int64     `json:"wait_ms,omitempty"`
+	ConnEndedAt  time.Time `json:"conn_over"` // if it was the last call on its connection; zero while that is open
 
 	result rules.Outcome
 }
@@ -53,6 +54,7 @@
 	mu            sync.Mutex
 	calls         []*call
 	inFlight      map[*model.Call]*call
+	answered      map[*model.Call]*call
 	latestOutages map[int]*outage // by unit
 	outages       []*outage
 	overloads     []overload
@@ -62,6 +64,7 @@
 func newWatcher() *watcher {
 	return &watcher{
 		inFlight:      map[*model.Call]*call{},
+		answered:      map[*model.Call]*call{},
 		latestOutages: map[int]*outage{},
 		drainedSince:  map[int]time.Time{},
 	}
@@ -106,6 +109,7 @@
 		return
 	}
 	delete(w.inFlight, modelCall)
+	w.answered[modelCall] = c
 	c.EndedAt = time.Now()
 	c.result = o.Result
 	c.RetryAfterMs = o.RetryAfter.Milliseconds()
@@ -131,6 +135,15 @@
 	w.markInformed(sender, ep, c)
 }
 
+// ConnectionEnded records when the connection of an answered call ended, if it carried no later call.
+func (w *watcher) ConnectionEnded(last *model.Call) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if c := w.answered[last]; c != nil {
+		c.ConnEndedAt = time.Now()
+	}
+}
+
 // markInformed records that a sender knows of the unit's latest outage, from a failed call that it made before the
 // outage's end. The caller holds the lock.
 func (w *watcher) markInformed(sender int, ep *receiver.Endpoint, c *call) {
