--- a/lab/live/connections.go
+++ b/lab/live/connections.go
@@ -49,8 +49,9 @@
 
 // request is one request as read from a connection.
 type request struct {
-	head *http1.Request
-	body []byte
+	head   *http1.Request
+	body   []byte
+	readAt time.Time // when its last byte was read
 }
 
 // serveConnection serves one connection until it ends. The model decides whether the connection is accepted, and the
@@ -149,7 +150,7 @@
 			return
 		}
 		select {
-		case requests <- request{head, body}:
+		case requests <- request{head, body, time.Now()}:
 		case <-stop:
 			return
 		}
@@ -180,7 +181,7 @@
 		r.recordLag(time.Since(readAt))
 		c.Sent = r.loop.Queue.Now()
 		if r.watcher != nil {
-			r.watcher.CallReceived(sender, ep, c)
+			r.watcher.CallReceived(sender, ep, c, req.readAt)
 		}
 		ep.Receive(c, conn)
 	}) {
--- a/lab/live/receivers.go
+++ b/lab/live/receivers.go
@@ -63,7 +63,7 @@
 // Its methods are called on the loop's goroutine and must not block.
 type Watcher interface {
 	ConnectionOpened(sender int, ep *receiver.Endpoint, accepted bool)
-	CallReceived(sender int, ep *receiver.Endpoint, c *model.Call)
+	CallReceived(sender int, ep *receiver.Endpoint, c *model.Call, arrivedAt time.Time)
 	CallAnswered(sender int, ep *receiver.Endpoint, c *model.Call, o model.Outcome)
 	CallAbandoned(sender int, ep *receiver.Endpoint, c *model.Call) // c is nil if the call did not reach the model
 	ConnectionEnded(last *model.Call)                               // the connection on which this call was the last has ended
--- a/lab/rig/watch.go
+++ b/lab/rig/watch.go
@@ -20,8 +20,9 @@
 	IDs          []string  `json:"ids"`
 	Endpoint     int       `json:"endpoint"`
 	Unit         int       `json:"unit"`
-	ReceivedAt   time.Time `json:"at"`
-	EndedAt      time.Time `json:"over"` // zero: it was still in flight at the end of the run
+	ArrivedAt    time.Time `json:"arrived"` // its last byte
+	ReceivedAt   time.Time `json:"at"`      // the model received it
+	EndedAt      time.Time `json:"over"`    // zero: it was still in flight at the end of the run
 	Outcome      string    `json:"outcome"`
 	RetryAfterMs int64     `json:"wait_ms,omitempty"`
 	ConnEndedAt  time.Time `json:"conn_over"` // if it was the last call on its connection; zero while that is open
@@ -83,13 +84,14 @@
 }
 
 // CallReceived records a call that was received whole.
-func (w *watcher) CallReceived(sender int, ep *receiver.Endpoint, modelCall *model.Call) {
+func (w *watcher) CallReceived(sender int, ep *receiver.Endpoint, modelCall *model.Call, arrivedAt time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := &call{
 		Sender:     sender,
 		Endpoint:   int(ep.ID),
 		Unit:       ep.Unit.Number,
+		ArrivedAt:  arrivedAt,
 		ReceivedAt: time.Now(),
 		Outcome:    "out",
 	}
@@ -125,7 +127,7 @@
 	defer w.mu.Unlock()
 	c := w.inFlight[modelCall]
 	if c == nil {
-		c = &call{Sender: sender, ReceivedAt: time.Now()}
+		c = &call{Sender: sender, ArrivedAt: time.Now(), ReceivedAt: time.Now()}
 	} else {
 		delete(w.inFlight, modelCall)
 		c.EndedAt = time.Now()
