--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -235,9 +235,10 @@
 		x.cfg.Log.Error("call not sent: the endpoint is not known or belongs to another destination",
 			"endpoint", host.Name)
 	}
-	if misrouted || !call.request.MayWrite(time.Now()) || x.countRecordError(x.cfg.Ledger.RecordCall(ids, numbers, host.Name, time.Now())) != nil {
+	denied := !call.request.MayWrite(time.Now())
+	if misrouted || denied || x.countRecordError(x.cfg.Ledger.RecordCall(ids, numbers, host.Name, time.Now())) != nil {
 		for i := range call.attempts {
-			x.onAttemptEnded(call, i, ItemResult{Outcome: rules.NotSent}, false)
+			x.onAttemptEnded(call, i, ItemResult{Outcome: rules.NotSent, Recalled: denied}, false)
 		}
 		return
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -152,7 +152,7 @@
 
 		reserveSegment: &segment{path: filepath.Join(dir, ReserveFile)},
 	}
-	locks, err := lockDirectory(dir)
+	locks, err := lockDirectory(dir, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ledger/lock.go
+++ b/internal/ledger/lock.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"slices"
@@ -34,12 +35,17 @@
 
 // lockDirectory waits until no other process holds the directory. The caller must close the returned files once it has a
 // segment of its own.
-func lockDirectory(dir string) (locks []*os.File, err error) {
+func lockDirectory(dir string, log *slog.Logger) (locks []*os.File, err error) {
+	waits := false
 	for deadline := time.Now().Add(lockTimeout); ; time.Sleep(lockPoll) {
 		locks, err := tryLockDirectory(dir)
 		if locks != nil || err != nil {
 			return locks, err
 		}
+		if !waits {
+			log.Warn("waiting for another process that holds the state directory", "for", lockTimeout)
+			waits = true
+		}
 		if time.Now().After(deadline) {
 			return nil, fmt.Errorf("%w: %s", ErrInUse, dir)
 		}
