--- a/review/cases2/cold.go
+++ b/review/cases2/cold.go
@@ -1,4 +1,4 @@
-// This file plays case 7: destinations that hang and come back cold.
+// This file plays case 8: destinations that hang and come back cold.
 
 package main
 
@@ -16,9 +16,9 @@
 	"time"
 )
 
-func init() { cases[7] = playColdReturn }
+func init() { cases[8] = playColdReturn }
 
-// Figures of case 7.
+// Figures of case 8.
 const (
 	coldSenders   = 2
 	coldSlots     = 24 // of each sender
@@ -43,7 +43,7 @@
 	fallWindow     = 2 * time.Second
 )
 
-// coldSettings are the settings of case 7.
+// coldSettings are the settings of case 8.
 func coldSettings() map[string]any {
 	set := depotSettings(coldSenders)
 	set["weights"] = "silent"
@@ -288,7 +288,7 @@
 	}
 }
 
-// coldFleet is the systems and senders of case 7.
+// coldFleet is the systems and senders of case 8.
 type coldFleet struct {
 	systems []*system
 	senders []*sender
