--- a/review/cases2/batch.go
+++ b/review/cases2/batch.go
@@ -17,11 +17,16 @@
 
 // Figures of case 6.
 const (
-	batchLimit       = 5        // messages in a call, as for the kind bulk-partners
-	clumpMessages    = 10       // "about as many as it takes in 1.2 to 3 s"
-	clumps           = 3        // in a row
-	longMessageBytes = 20 << 10 // under a third of what a body may hold
+	batchLimit       = 5  // messages in a call, as for the kind bulk-partners
+	clumpMessages    = 10 // "about as many as it takes in 1.2 to 3 s"
+	clumps           = 3  // in a row
+	clumpEvery       = 6 * time.Second
+	longMessageBytes = 30 << 10 // less than half of what a body may hold
 	longDeadline     = 16 * time.Second
+
+	maxTries   = 4 // "hand a message in again up to 3 times"
+	minBackoff = 390 * time.Millisecond
+	maxBackoff = 1400 * time.Millisecond
 )
 
 // bodyKeeper is an endpoint that serves what the protocol allows and turns away longer bodies.
@@ -30,9 +35,14 @@
 	mu        sync.Mutex
 	delivered map[string]bool
 	tooLong   map[string]int // calls with a body that is too long, by message
+	returned  map[string]int // bounced notices, by message without the number of the try
 	longest   int
 }
 
+func newBodyKeeper(h *harness) *bodyKeeper {
+	return &bodyKeeper{h: h, delivered: map[string]bool{}, tooLong: map[string]int{}, returned: map[string]int{}}
+}
+
 func (k *bodyKeeper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -72,9 +82,10 @@
 	_, _ = io.WriteString(w, answer.String()) // fails if the sender has gone
 }
 
-// playLongBatch hands in messages of 20 KiB, in clumps or, without the trouble, one after another.
+// playLongBatch hands in messages of 30 KiB, in clumps or, without the trouble, one after another. Clients hand in again
+// what is refused or bounced, up to three times.
 func playLongBatch(h *harness, trouble bool) (broken []string, err error) {
-	k := &bodyKeeper{h: h, delivered: map[string]bool{}, tooLong: map[string]int{}}
+	k := newBodyKeeper(h)
 	address, err := h.serve(k)
 	if err != nil {
 		return nil, err
@@ -93,53 +104,86 @@
 		return nil, err
 	}
 	c := h.newClient()
-	taken := submitClumps(c, s, trouble)
-	time.Sleep(longDeadline + time.Second)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	h.note("longest body of a call: %d bytes; taken on: %d messages, delivered: %d", k.longest, len(taken), len(k.delivered))
-	lost := 0
-	for _, id := range taken {
-		if !k.delivered[id] && k.tooLong[id] > 0 {
-			lost++
-			h.note("%s was taken on and never delivered: all of its %d calls had too long a body; notice: %q", id, k.tooLong[id], p.noticeOf(id))
+	var all sync.WaitGroup
+	for clump := range clumps {
+		for n := range clumpMessages {
+			all.Go(func() { handInUntilDelivered(c, s, p, k, fmt.Sprintf("m%d-%d", clump, n)) })
+			if !trouble {
+				time.Sleep(800 * time.Millisecond) // longer than a message waits for others to share a call with
+			}
+		}
+		if trouble {
+			time.Sleep(clumpEvery)
 		}
 	}
-	if lost > 0 {
-		broken = append(broken, fmt.Sprintf("%d of %d messages that were taken on came only in calls with more than %d bytes "+
-			"(up to %d) and were not delivered", lost, len(taken), maxBodyBytes, k.longest))
-	}
-	return broken, nil
+	all.Wait()
+	return k.undelivered(), nil
 }
 
-// submitClumps hands in the messages and returns the IDs of those that were taken on.
-func submitClumps(c *client, s *sender, together bool) (taken []string) {
+// handInUntilDelivered hands in a message, and again up to three times when it is refused or comes back with a notice.
+func handInUntilDelivered(c *client, s *sender, p *platform, k *bodyKeeper, name string) {
 	body := bytes.Repeat([]byte("x"), longMessageBytes)
-	var mu sync.Mutex
-	for clump := range clumps {
-		var wg sync.WaitGroup
-		for n := range clumpMessages {
-			id := fmt.Sprintf("m%d-%d", clump, n)
-			hand := func() {
-				if status := c.submit(s, "order-payment", id, 1, longDeadline, body); status == http.StatusAccepted || status == http.StatusOK {
-					mu.Lock()
-					taken = append(taken, id)
-					mu.Unlock()
-				}
+	backoff := minBackoff
+	for try := range maxTries {
+		id := fmt.Sprintf("%s-%d", name, try)
+		wait := time.Duration(0)
+		status := c.submit(s, "order-payment", id, 1, longDeadline, body)
+		if status == http.StatusAccepted || status == http.StatusOK {
+			ended := time.Now().Add(longDeadline + time.Second)
+			for p.noticeOf(id) == "" && !k.has(id) && time.Now().Before(ended) {
+				time.Sleep(5 * time.Millisecond)
 			}
-			if together {
-				wg.Go(hand)
-				continue
+			if p.noticeOf(id) != "bounced" {
+				return
 			}
-			hand()
-			time.Sleep(800 * time.Millisecond) // longer than a message waits for others to share a call with
+			wait = p.waitOf(id)
+			k.bounced(name)
 		}
-		wg.Wait()
-		if together {
-			time.Sleep(2 * time.Second)
+		time.Sleep(max(wait, backoff+time.Duration(chance.below(int(backoff)))))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// has reports whether a message has been delivered.
+func (k *bodyKeeper) has(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.delivered[id]
+}
+
+// bounced counts a message that was taken on and came back with a notice.
+func (k *bodyKeeper) bounced(name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.returned[name]++
+}
+
+// undelivered returns what was broken: messages that never came in a call that keeps the limit.
+func (k *bodyKeeper) undelivered() (broken []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	lost := 0
+	for name, times := range k.returned {
+		delivered := false
+		calls := 0
+		for try := range maxTries {
+			id := fmt.Sprintf("%s-%d", name, try)
+			delivered = delivered || k.delivered[id]
+			calls += k.tooLong[id]
 		}
+		if !delivered && times == maxTries {
+			lost++
+			k.h.note("%s was taken on %d times and never delivered: %d calls, all with too long a body", name, times, calls)
+		}
+	}
+	k.h.note("longest body of a call: %d bytes; messages: %d; returned at least once: %d; never delivered: %d",
+		k.longest, clumps*clumpMessages, len(k.returned), lost)
+	if lost > 0 {
+		broken = append(broken, fmt.Sprintf("%d of %d messages were taken on and bounced %d times each and never delivered, as they "+
+			"were sent only in calls with more than %d bytes (up to %d); %d came back at least once",
+			lost, clumps*clumpMessages, maxTries, maxBodyBytes, k.longest, len(k.returned)))
 	}
-	return taken
+	return broken
 }
 
 // depotSettings returns settings like those of a small deployment, for so many senders.
--- a/review/cases2/hoard.go
+++ b/review/cases2/hoard.go
@@ -31,7 +31,7 @@
 // playHoard runs a sender with little memory before clients that send all of a request but its last byte. The platform
 // kills a sender that goes over its memory.
 func playHoard(h *harness, trouble bool) (broken []string, err error) {
-	k := &bodyKeeper{h: h, delivered: map[string]bool{}, tooLong: map[string]int{}}
+	k := newBodyKeeper(h)
 	address, err := h.serve(k)
 	if err != nil {
 		return nil, err
--- a/review/cases2/standins.go
+++ b/review/cases2/standins.go
@@ -53,13 +53,14 @@
 	changed chan struct{}
 	notices map[string]string // result, by message
 	at      map[string]time.Time
+	waits   map[string]time.Duration // told by bounced notices
 }
 
 // newPlatform starts a platform whose list has these endpoints.
 func (h *harness) newPlatform(chunked bool, entries ...entry) (*platform, error) {
 	p := &platform{
 		h: h, chunked: chunked, seq: 1, entries: entries, changes: map[int][]entry{}, changed: make(chan struct{}),
-		notices: map[string]string{}, at: map[string]time.Time{},
+		notices: map[string]string{}, at: map[string]time.Time{}, waits: map[string]time.Duration{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", p.serveList)
@@ -163,6 +164,7 @@
 	for _, n := range all {
 		if p.notices[n.Ref] == "" {
 			p.notices[n.Ref], p.at[n.Ref] = n.Result, time.Now()
+			p.waits[n.Ref] = time.Duration(n.Wait) * time.Millisecond
 			p.h.note("notice for %s: %s, wait %d ms", n.Ref, n.Result, n.Wait)
 		}
 	}
@@ -177,6 +179,13 @@
 	return p.notices[id]
 }
 
+// waitOf returns the wait that a message's notice told.
+func (p *platform) waitOf(id string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waits[id]
+}
+
 // item is a message within a call.
 type item struct {
 	id   string
