--- a/review/cases2/cold.go
+++ b/review/cases2/cold.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -36,6 +35,8 @@
 	bigService    = 300 * time.Millisecond // mean
 	smallService  = 700 * time.Millisecond // mean
 	serviceSpread = 0.6                    // coefficient of variation
+	coldTries     = 3                      // "hand a message in again up to 2 times, after a wait"
+	coldBackoff   = 400 * time.Millisecond // to twice that
 
 	coldShare      = 0.18
 	coldWarmUp     = 12 * time.Second
@@ -80,19 +81,21 @@
 	busy    int
 	waiting []chan struct{} // calls that wait for a core
 
-	coldSince time.Time     // zero before the outage
-	informed  map[int]bool  // senders of which a call failed during the outage
-	window    []arrival     // since the return, within fallWindow
-	worst     float64       // calls in a window over what the system bears
-	fallen    string        // what made it fall
-	after     map[int]int   // calls by sender since the return
+	coldSince time.Time       // zero before the outage
+	informed  map[int]bool    // senders of which a call failed during the outage
+	window    []arrival       // since the return, within fallWindow
+	worst     float64         // calls in a window over what the system bears
+	fallen    string          // what made it fall
+	after     map[int]int     // calls by sender since the return
+	taken     map[string]bool // messages for it that a sender has taken on
+	delivered map[string]bool
 	stopped   chan struct{} // closed when it falls
 }
 
 func newSystem(h *harness, number, cores int, service time.Duration) *system {
 	return &system{
 		h: h, number: number, cores: cores, service: service, conns: map[net.Conn]bool{}, informed: map[int]bool{},
-		after: map[int]int{}, stopped: make(chan struct{}),
+		after: map[int]int{}, stopped: make(chan struct{}), taken: map[string]bool{}, delivered: map[string]bool{},
 	}
 }
 
@@ -145,6 +148,14 @@
 		y.countCold(sender)
 	}
 	y.mu.Unlock()
+	if hanging == nil {
+		if !y.serve(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		y.mu.Lock()
+		hanging = y.hanging // it has begun meanwhile
+		y.mu.Unlock()
+	}
 	if hanging != nil { // no answer: until the sender gives up, or the process is restarted
 		select {
 		case <-r.Context().Done():
@@ -153,13 +164,30 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	if !y.serve(r.Context()) {
-		panic(http.ErrAbortHandler)
-	}
+	y.mu.Lock()
+	y.delivered[id] = true
+	y.mu.Unlock()
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusOK)
 }
 
+// undelivered returns how many messages that were taken on have not been delivered. It must be called with the lock held.
+func (y *system) undelivered() (n int) {
+	for id := range y.taken {
+		if !y.delivered[id] {
+			n++
+		}
+	}
+	return n
+}
+
+// take notes that a message for the system was taken on.
+func (y *system) take(id string) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.taken[id] = true
+}
+
 // noteGivenUp notes that a sender gave up a call while the system hung: it timed out there.
 func (y *system) noteGivenUp(sender int, id string) {
 	y.mu.Lock()
@@ -257,7 +285,7 @@
 // drawService draws a service time from a lognormal distribution.
 func drawService(mean time.Duration) time.Duration {
 	variance := math.Log(1 + serviceSpread*serviceSpread)
-	return time.Duration(float64(mean) * math.Exp(math.Sqrt(variance)*rand.NormFloat64()-variance/2))
+	return time.Duration(float64(mean) * math.Exp(math.Sqrt(variance)*chance.normal()-variance/2))
 }
 
 // hang makes the system take calls and answer none.
@@ -290,8 +318,9 @@
 
 // coldFleet is the systems and senders of case 8.
 type coldFleet struct {
-	systems []*system
-	senders []*sender
+	systems   []*system
+	platforms []*platform // of each sender
+	senders   []*sender
 }
 
 // startColdFleet starts the systems, and the senders with a platform each.
@@ -328,7 +357,7 @@
 		if err := s.start(nil); err != nil {
 			return nil, err
 		}
-		f.senders = append(f.senders, s)
+		f.platforms, f.senders = append(f.platforms, p), append(f.senders, s)
 	}
 	return f, nil
 }
@@ -342,7 +371,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
 	for n, s := range f.senders {
-		clients.Go(func() { handInAtRandom(ctx, h.newClient(), s, n) })
+		clients.Go(func() { handInAtRandom(ctx, h.newClient(), s, n, f) })
 	}
 	time.Sleep(coldLead)
 	hung := f.systems[bigSystems : bigSystems+hungSystems]
@@ -366,7 +395,7 @@
 			h.note("system %d: at most %.2f of what it bears within %v; calls since its return, by sender: %v", y.number, y.worst, fallWindow, y.after)
 		}
 		if y.breaksRule() {
-			broken = append(broken, y.fallen)
+			broken = append(broken, fmt.Sprintf("%s; it stays down, and %d messages taken on for it are not delivered", y.fallen, y.undelivered()))
 		}
 		y.mu.Unlock()
 	}
@@ -374,29 +403,63 @@
 }
 
 // handInAtRandom hands in messages at a sender's part of the rate until the context ends.
-func handInAtRandom(ctx context.Context, c *client, s *sender, number int) {
+func handInAtRandom(ctx context.Context, c *client, s *sender, number int, f *coldFleet) {
 	var under sync.WaitGroup
 	defer under.Wait()
 	for n := 0; ; n++ {
-		pause := time.Duration(rand.ExpFloat64() * float64(time.Second) * coldSenders / coldRate)
+		pause := time.Duration(chance.exponential() * float64(time.Second) * coldSenders / coldRate)
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(pause):
 		}
-		dest := drawSystem()
-		class, deadline := "order-confirm", 24*time.Second
-		if rand.Float64() < 0.16 {
-			class, deadline = "stock-level", 6*time.Second
+		name := fmt.Sprintf("n%d-%d", number, n)
+		under.Go(func() { f.handIn(ctx, c, s, f.platforms[number], name) })
+	}
+}
+
+// handIn hands in one message, and again up to two times when it is refused, at the door or with a notice.
+func (f *coldFleet) handIn(ctx context.Context, c *client, s *sender, p *platform, name string) {
+	y := f.systems[drawSystem()]
+	class, deadline := "order-confirm", 24*time.Second
+	if chance.share() < 0.16 {
+		class, deadline = "stock-level", 6*time.Second
+	}
+	for try := range coldTries {
+		id := name + "-" + strconv.Itoa(try)
+		wait := coldBackoff + time.Duration(chance.below(int(coldBackoff)))
+		switch c.submit(s, class, id, y.number, deadline, []byte("order")) {
+		case http.StatusAccepted:
+			y.take(id)
+			for p.noticeOf(id) == "" && !y.has(id) && ctx.Err() == nil {
+				time.Sleep(20 * time.Millisecond)
+			}
+			if p.noticeOf(id) != "bounced" {
+				return
+			}
+			wait = max(wait, p.waitOf(id))
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		default:
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
 		}
-		id := fmt.Sprintf("n%d-%d", number, n)
-		under.Go(func() { c.submit(s, class, id, dest, deadline, []byte("order")) })
 	}
 }
 
+// has reports whether a message has been delivered.
+func (y *system) has(id string) bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return y.delivered[id]
+}
+
 // drawSystem draws the destination of a message.
 func drawSystem() int {
-	at := rand.IntN(bigSystems*bigWeight + smallSystems)
+	at := chance.below(bigSystems*bigWeight + smallSystems)
 	if at < bigSystems*bigWeight {
 		return at / bigWeight
 	}
