--- a/review/cases2/standins.go
+++ b/review/cases2/standins.go
@@ -179,6 +179,14 @@
 	return p.notices[id]
 }
 
+// noticedBy reports whether a message had a notice by a time.
+func (p *platform) noticedBy(id string, by time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, noticed := p.at[id]
+	return noticed && !at.After(by)
+}
+
 // waitOf returns the wait that a message's notice told.
 func (p *platform) waitOf(id string) time.Duration {
 	p.mu.Lock()
