--- a/review/cases2/batch.go
+++ b/review/cases2/batch.go
@@ -18,12 +18,17 @@
 // Figures of case 6.
 const (
 	batchLimit       = 5  // messages in a call, as for the kind bulk-partners
-	clumpMessages    = 10 // "about as many as it takes in 1.2 to 3 s"
+	clumpRate        = 5  // calls a second, as listed
+	clumpMessages    = 10 // what it takes in 2 s
 	clumps           = 3  // in a row
 	clumpEvery       = 6 * time.Second
 	longMessageBytes = 30 << 10 // less than half of what a body may hold
 	longDeadline     = 16 * time.Second
 
+	batchOthers   = 4
+	otherMessages = 180 // so that a seventh of all messages comes in clumps
+	otherEvery    = 110 * time.Millisecond
+
 	maxTries   = 4 // "hand a message in again up to 3 times"
 	minBackoff = 390 * time.Millisecond
 	maxBackoff = 1400 * time.Millisecond
@@ -90,12 +95,22 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := h.newPlatform(false, entry{Host: "s-1", Dial: address, Site: "here", Class: "bulk", Block: 1, Health: "Ready", Share: 20})
+	entries := []entry{{Host: "s-1", Dial: address, Site: "here", Class: "bulk", Block: 1, Health: "Ready", Share: clumpRate}}
+	for n := range batchOthers {
+		name := "s-" + strconv.Itoa(2+n)
+		dial, err := h.serve(&tenancy{h: h, name: name})
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, entry{Host: name, Dial: dial, Site: "here", Class: "all", Block: 2 + n, Health: "Ready", Share: 5})
+	}
+	p, err := h.newPlatform(false, entries...)
 	if err != nil {
 		return nil, err
 	}
-	set := depotSettings(1)
-	set["extra"].(map[string]any)["batch_by_kind"] = []int{batchLimit}
+	set := depotSettings(2)
+	set["flavors"] = []string{"bulk", "all"}
+	set["extra"] = map[string]any{"batch_by_kind": []int{batchLimit, 1}, "late": "halving", "routes_apart": []bool{false, false}, "slots": 10}
 	s, err := h.newSender("n1", p.address, p.whole(), set)
 	if err != nil {
 		return nil, err
@@ -105,6 +120,12 @@
 	}
 	c := h.newClient()
 	var all sync.WaitGroup
+	all.Go(func() {
+		for n := range otherMessages { // for other systems, one by one
+			c.submit(s, "stock-status", "o"+strconv.Itoa(n), 2+n%batchOthers, longDeadline, []byte("stock"))
+			time.Sleep(otherEvery)
+		}
+	})
 	for clump := range clumps {
 		for n := range clumpMessages {
 			all.Go(func() { handInUntilDelivered(c, s, p, k, fmt.Sprintf("m%d-%d", clump, n)) })
