Observe each call to an endpoint that may be cold, and the limit that let it through

A sender that had seen calls fail at a destination could push it over on its return while its log showed a healthy endpoint and nothing else: no line told what it knew of the endpoint, nor which limit it had passed. Observations.LimitedCalls holds both for each call to an endpoint that failed or refused one within a warm-up; the sender logs them at debug level, and eiderlab replay prints them.

--- a/internal/exchange/observe.go
+++ b/internal/exchange/observe.go
@@ -25,6 +25,14 @@
 			"from", t.From, "to", t.To, "cause", t.Cause, "failures", t.ConsecutiveFailures,
 			"failing_for", t.At-t.FailingSince, "next_call_in", t.CallInterval)
 	}
+	for _, c := range o.LimitedCalls {
+		x.trace("limited call", func() []any {
+			host := x.directory.host(c.Endpoint)
+			return []any{"endpoint", host.Name, "dest", host.Dest, "state", c.State, "gate", c.Gate, "failures", c.Failures,
+				"scope_failures", c.ScopeFailures, "refusals", c.Refusals, "failed_before", c.At - c.LastFailedSent,
+				"in_flight", c.InFlight}
+		})
+	}
 	x.recordHardStates(o.HardStates)
 	for _, e := range o.Undelivered {
 		x.counts.Ended[e.Reason]++
--- a/internal/exchange/observe_test.go
+++ b/internal/exchange/observe_test.go
@@ -41,6 +41,7 @@
 		"msg=outcome id=m1 attempt=3",
 		"outcome=errored",
 		`msg="endpoint state" endpoint=s-1 dest=1 from=healthy to=probation cause=failures failures=4`,
+		`msg="limited call" endpoint=s-1 dest=1 state=healthy gate=confirmation failures=1`,
 		"msg=ended id=m1 reason=attempts",
 	} {
 		if !strings.Contains(log.String(), want) {
--- a/lab/sender/sender.go
+++ b/lab/sender/sender.go
@@ -77,7 +77,8 @@
 	timers         *clock.Scheduler // timeouts and wake-ups
 	actions        []rules.Action
 
-	transitions []rules.Transition // endpoint state changes of the last step
+	transitions  []rules.Transition  // endpoint state changes of the last step
+	limitedCalls []rules.LimitedCall // calls of the last step to endpoints that may be cold
 
 	poolsCreated int
 	retained     []*heldMessage                       // messages kept while the process is down
@@ -243,7 +244,7 @@
 		return
 	}
 	observations := o.Observe()
-	h.transitions = observations.Transitions
+	h.transitions, h.limitedCalls = observations.Transitions, observations.LimitedCalls
 	for _, state := range observations.HardStates {
 		if state.Clean() {
 			delete(h.hardStates, state.Endpoint)
@@ -274,7 +275,7 @@
 func (h *Host) ExecuteActions() {
 	actions := h.actions
 	h.actions = nil
-	h.traceTransitions()
+	h.traceObservations()
 	var newCalls []*call
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -321,8 +322,8 @@
 	h.InvalidActions[fmt.Sprintf(format, args...)]++
 }
 
-// traceTransitions traces the changes of endpoint states in the last step.
-func (h *Host) traceTransitions() {
+// traceObservations traces the changes of endpoint states in the last step, and its calls to endpoints that may be cold.
+func (h *Host) traceObservations() {
 	if h.env.Trace == nil {
 		return
 	}
@@ -331,6 +332,11 @@
 			h.Number, t.Endpoint, t.From, t.To, t.Cause, t.ConsecutiveFailures,
 			(t.At - t.FailingSince).Round(time.Millisecond), t.CallInterval.Round(time.Millisecond))
 	}
+	for _, c := range h.limitedCalls {
+		h.env.Trace("sender %d: calls endpoint %d (%v) by gate %s, failures %d, of the scope %d, refusals %d, "+
+			"latest failed call %v ago, %d in flight", h.Number, c.Endpoint, c.State, c.Gate, c.Failures, c.ScopeFailures,
+			c.Refusals, (c.At - c.LastFailedSent).Round(time.Millisecond), c.InFlight)
+	}
 }
 
 func (h *Host) trace(id rules.MessageID, format string, args ...any) {
--- a/rules/observe.go
+++ b/rules/observe.go
@@ -57,6 +57,33 @@
 	LastAnsweredAt time.Duration // 0 for no answer yet
 }
 
+// Gate is the limit that a call to an endpoint in trouble had to pass, the strictest that was in force. Its values are
+// written to logs.
+type Gate string
+
+// The gates.
+const (
+	GateProbe        Gate = "probe"        // the endpoint is on probation
+	GateShare        Gate = "share"        // this sender's share of a slow start
+	GateConfirmation Gate = "confirmation" // the latest outcome is a failure, and one call finds out
+	GateRate         Gate = "rate"         // the rate controller, since the latest outcome is a refusal
+	GateNone         Gate = "none"         // nothing; the endpoint failed a call lately
+)
+
+// LimitedCall is a call to an endpoint that may be cold, as this sender has seen it fail or refuse one lately. It tells
+// what was known of the endpoint and which limit let the call through.
+type LimitedCall struct {
+	At             time.Duration // time of the step, as passed to Sender.Step
+	Endpoint       EndpointID
+	State          State
+	Gate           Gate
+	Failures       int           // in a row at the endpoint
+	ScopeFailures  int           // calls in a row that its limit scope left unanswered
+	Refusals       int           // since the limit scope's latest answer
+	LastFailedSent time.Duration // send time of the latest call known to have failed
+	InFlight       int           // calls to the limit scope, this one included
+}
+
 // EndReason is why a message ended undelivered. Its values are written to logs and counters.
 type EndReason string
 
@@ -84,6 +111,9 @@
 	Suspicions  []Suspicion
 	Undelivered []Undelivered
 
+	// LimitedCalls are calls to endpoints that may be cold.
+	LimitedCalls []LimitedCall
+
 	// HardStates are the changed ones, at most one of each endpoint. See HardState for what must be done with them.
 	HardStates []HardState
 
@@ -140,6 +170,42 @@
 	})
 }
 
+// recordLimitedCall records a call that is about to be made if its endpoint may be cold.
+func (s *Sender) recordLimitedCall(ep *endpointState) {
+	gate := s.gateOf(ep)
+	lastFailed := max(ep.lastFailedSentAt, ep.limitScope.lastFailedSentAt)
+	failedLately := lastFailed > 0 && s.now-lastFailed < s.settings.WarmUp
+	if gate == GateNone && !failedLately || len(s.observations.LimitedCalls) >= maxObservations {
+		return
+	}
+	s.observations.LimitedCalls = append(s.observations.LimitedCalls, LimitedCall{
+		At:             s.now,
+		Endpoint:       ep.id,
+		State:          State(ep.health),
+		Gate:           gate,
+		Failures:       ep.consecutiveFailures,
+		ScopeFailures:  ep.limitScope.consecutiveFailures,
+		Refusals:       ep.limitScope.consecutiveRefusals,
+		LastFailedSent: lastFailed,
+		InFlight:       ep.limitScope.inFlight,
+	})
+}
+
+// gateOf returns the strictest limit in force for calls to an endpoint.
+func (s *Sender) gateOf(ep *endpointState) Gate {
+	switch {
+	case ep.health == probation:
+		return GateProbe
+	case ep.health == slowStart:
+		return GateShare
+	case ep.mustWait():
+		return GateConfirmation
+	case ep.limitScope.consecutiveRefusals > 0:
+		return GateRate
+	}
+	return GateNone
+}
+
 // recordEnd records why a message ends.
 func (s *Sender) recordEnd(m *message, reason EndReason) {
 	if len(s.observations.Undelivered) < maxObservations {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -153,6 +153,7 @@
 		s.emit(Send{ID: a.id, Endpoint: endpoint.id, Timeout: s.timeout(a.message, endpoint),
 			WriteWithin: s.windowLeft(a.message), LastUse: lastUse})
 	}
+	s.recordLimitedCall(endpoint)
 	endpoint.limitScope.controller.onSend(s.now, s.settings.Senders)
 	s.chargeCall(endpoint)
 	s.touch(endpoint)
