The pause after a failure outlasts a restart though the endpoint that began it has left

The pause after a failure binds all failed endpoints of a destination, but only the one that failed last reported it for the next process.

Every failed endpoint of the destination reports the pause now. TestPauseOutlastsTheEndpointThatBeganIt failed before (the endpoint that stays reported no pause).

--- a/rules/hardstate_test.go
+++ b/rules/hardstate_test.go
@@ -352,3 +352,28 @@
 	f.Add(HardState{Health: Probation, Failures: 4, At: sec}.AppendTo(nil, time.UnixMilli(1)))
 	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = ParseHardState(data, time.UnixMilli(1)) })
 }
+
+// TestPauseOutlastsTheEndpointThatBeganIt guards against a pause after a failure that a restart ends early, as the endpoint
+// that failed last, and alone reported the pause, has left the list meanwhile.
+func TestPauseOutlastsTheEndpointThatBeganIt(t *testing.T) {
+	const routesApart = 1
+	b := newBench(t, func(s *Settings) { s.Senders = 300 },
+		Entry{Endpoint: 11, Destination: 1, Kind: routesApart}, Entry{Endpoint: 12, Destination: 1, Kind: routesApart})
+	b.s.now = b.now
+	b.s.onFailure(b.s.endpoint(11), b.now-sec, Errored)
+	b.step(WakeUp{})
+	b.now += 10 * ms
+	b.s.now = b.now
+	b.s.onFailure(b.s.endpoint(12), b.now-sec, Errored)
+	b.step(ListUpdate{Entries: []Entry{{Endpoint: 12, Destination: 1, Kind: routesApart, Gone: true}}})
+	paused := b.s.destination(1).retryNotBefore
+	var recorded time.Duration
+	for _, h := range b.s.Observe().HardStates {
+		if h.Endpoint == 11 {
+			recorded = h.RetryNotBefore
+		}
+	}
+	if paused <= b.now || recorded != paused {
+		t.Errorf("the pause ends at %v, and the endpoint that stays reports %v; now is %v", paused, recorded, b.now)
+	}
+}
--- a/rules/health.go
+++ b/rules/health.go
@@ -216,7 +216,7 @@
 		s.suspectScope(endpoint, sentAt, failedLate && s.now-sentAt > minLateAfter)
 	}
 	s.restartWarmUps(endpoint)
-	endpoint.destination.retryNotBefore = s.now + s.failurePause(endpoint)
+	s.pauseFailedEndpoints(endpoint)
 	if endpoint.limitScope.consecutiveFailures >= outageFailuresOfScope {
 		s.startScopeProbation(endpoint, outcome, CauseFailures)
 		return
@@ -228,6 +228,17 @@
 	}
 }
 
+// pauseFailedEndpoints begins the pause that follows a failure, for all failed endpoints of the destination.
+// Each reports it, as the one that failed last may leave the list.
+func (s *Sender) pauseFailedEndpoints(failed *endpointState) {
+	failed.destination.retryNotBefore = s.now + s.failurePause(failed)
+	for _, other := range failed.destination.endpoints {
+		if other.mustWait() {
+			s.touch(other)
+		}
+	}
+}
+
 // onConnectionLimit processes the report that an endpoint holds all the connections it can. This is no
 // failure: it serves the senders that have one, and calls that end make room. The pause guards against many
 // senders that keep trying. The cost is that a single sender may come late.
