Known reds: a line may name a subtest

A line of KNOWN-RED.txt could name a whole test only. A line may name a subtest now, as Test/subtest/subtest; the test itself must exist, and go test's -skip gets the name in its parts.

--- a/internal/knownred/knownred.go
+++ b/internal/knownred/knownred.go
@@ -18,7 +18,7 @@
 // Entry is a line of the list: "TEST|COMMAND|WHAT WAS SEEN|issue N".
 type Entry struct {
 	Line    int    // line number
-	Test    string // name of a top-level test of this module
+	Test    string // name of a test of this module, or of a subtest: Test/subtest/subtest
 	Command string // shell command that runs the test, with its seed, from the root of the repository
 	Symptom string // how the test failed
 	Issue   int    // number of the issue that tracks the fault
@@ -39,7 +39,7 @@
 func (e *LineError) Unwrap() error { return ErrLine }
 
 var (
-	testNamePattern = regexp.MustCompile(`^Test[A-Z0-9]\w*$`)
+	testNamePattern = regexp.MustCompile(`^Test[A-Z0-9]\w*(/[\w-]+)*$`)
 	issuePattern    = regexp.MustCompile(`^issue ([1-9]\d*)$`)
 )
 
@@ -105,7 +105,7 @@
 	var errs []error
 	lineOf := map[string]int{} // by test
 	for _, e := range entries {
-		if !known[e.Test] {
+		if topLevel, _, _ := strings.Cut(e.Test, "/"); !known[topLevel] {
 			errs = append(errs, &LineError{e.Line, fmt.Sprintf("test %s does not exist", e.Test)})
 		}
 		if earlier := lineOf[e.Test]; earlier > 0 {
@@ -121,7 +121,7 @@
 func SkipPattern(entries []Entry) string {
 	var names []string
 	for _, e := range entries {
-		names = append(names, "^"+e.Test+"$")
+		names = append(names, "^"+strings.ReplaceAll(e.Test, "/", "$/^")+"$")
 	}
 	return strings.Join(names, "|")
 }
--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -20,6 +20,9 @@
 	if got := SkipPattern(entries); got != "^TestA$|^TestB$" {
 		t.Errorf("skip pattern %q", got)
 	}
+	if got := SkipPattern([]Entry{{Test: "TestA"}, {Test: "TestB/runs/31"}}); got != "^TestA$|^TestB$/^runs$/^31$" {
+		t.Errorf("skip pattern of a subtest %q", got)
+	}
 	if got := SkipPattern(nil); got != "" {
 		t.Errorf("skip pattern of an empty list: %q, want an empty one", got)
 	}
@@ -29,6 +32,8 @@
 	for _, c := range []struct{ line, want string }{
 		{"TestA|fell|issue 3", "line 2: 3 fields, want 4"},
 		{"testA|go test|fell|issue 3", `line 2: "testA" is not the name of a test`},
+		{"TestA/|go test|fell|issue 3", `line 2: "TestA/" is not the name of a test`},
+		{"TestA/a.*|go test|fell|issue 3", `line 2: "TestA/a.*" is not the name of a test`},
 		{"TestA|.*||go test", "line 2: the description of what was seen is missing"},
 		{"TestA||fell|issue 3", "line 2: the command is missing"},
 		{"TestA|go test|fell|later", `line 2: "later", want "issue N"`},
@@ -45,6 +50,9 @@
 func TestCheckFindsMissingAndRepeatedTests(t *testing.T) {
 	entries := []Entry{{1, "TestA", "x", "y", 1}, {2, "TestGone", "x", "y", 1}, {3, "TestA", "x", "y", 1}}
 	err := Check(entries, []string{"TestA", "TestB"})
+	if err := Check([]Entry{{1, "TestA/31", "x", "y", 1}}, []string{"TestA"}); err != nil {
+		t.Errorf("a subtest: %v", err)
+	}
 	for _, want := range []string{"line 2: test TestGone does not exist", "line 3: TestA is already listed in line 1"} {
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("error %v, want %q", err, want)
