Known reds: a subtest's line is checked against the test that it belongs to

The check asked go test for the whole name, of which only the part before the first slash is listed, so a line with a subtest was refused. Checked with such a line and by the package's tests.

--- a/cmd/knownred/main.go
+++ b/cmd/knownred/main.go
@@ -69,7 +69,7 @@
 	if err != nil || len(entries) == 0 {
 		return nil, err
 	}
-	output, err := exec.Command("go", "test", "-list", knownred.SkipPattern(entries), "./...").Output()
+	output, err := exec.Command("go", "test", "-list", knownred.ListPattern(entries), "./...").Output()
 	if err != nil {
 		return nil, fmt.Errorf("listing the module's tests: %w", err)
 	}
--- a/internal/knownred/knownred.go
+++ b/internal/knownred/knownred.go
@@ -105,7 +105,7 @@
 	var errs []error
 	lineOf := map[string]int{} // by test
 	for _, e := range entries {
-		if topLevel, _, _ := strings.Cut(e.Test, "/"); !known[topLevel] {
+		if !known[e.topLevel()] {
 			errs = append(errs, &LineError{e.Line, fmt.Sprintf("test %s does not exist", e.Test)})
 		}
 		if earlier := lineOf[e.Test]; earlier > 0 {
@@ -116,6 +116,22 @@
 	return errors.Join(errs...)
 }
 
+// topLevel returns the name of the test that go test lists: that of the entry without its subtests.
+func (e Entry) topLevel() string {
+	name, _, _ := strings.Cut(e.Test, "/")
+	return name
+}
+
+// ListPattern returns a pattern for go test's -list that matches the names of the listed tests, or of the tests that the
+// listed subtests belong to, and no others.
+func ListPattern(entries []Entry) string {
+	var names []string
+	for _, e := range entries {
+		names = append(names, "^"+e.topLevel()+"$")
+	}
+	return strings.Join(names, "|")
+}
+
 // SkipPattern returns a pattern for go test's -skip that matches the names of the listed tests and no others. It is
 // empty for an empty list.
 func SkipPattern(entries []Entry) string {
--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -23,6 +23,9 @@
 	if got := SkipPattern([]Entry{{Test: "TestA"}, {Test: "TestB/runs/31"}}); got != "^TestA$|^TestB$/^runs$/^31$" {
 		t.Errorf("skip pattern of a subtest %q", got)
 	}
+	if got := ListPattern([]Entry{{Test: "TestA"}, {Test: "TestB/runs/31"}}); got != "^TestA$|^TestB$" {
+		t.Errorf("list pattern of a subtest %q", got)
+	}
 	if got := SkipPattern(nil); got != "" {
 		t.Errorf("skip pattern of an empty list: %q, want an empty one", got)
 	}
