Senders that saw an outage keep to their share in a fleet of any size

Cause: what a failure meant depended on the size of the fleet (failureWeight, treatsAsOutage: 0 up to 7 senders, 1 from 12 on). At weight 0 a call given up was no failure, four in a row were needed where never more than three calls could be out, any number of calls could leave beside a failure, and a suspicion that outlasted the outage ended without a slow start.

Change: the weight is gone, and with it the second way to reckon a share. Every fleet does what fleets of 12 and more did. Fleets of up to 12 keep their early probes, now only within 3 s of an answered call, when nothing can be cold.

--- a/rules/hardstate.go
+++ b/rules/hardstate.go
@@ -273,15 +273,13 @@
 }
 
 // restorePhase spaces the first call to an endpoint that is not healthy. If it came due while no process ran,
-// it did so for every sender that restarts now: the senders of a large fleet draw a new phase, those of a
-// small one make a single call.
+// it did so for every sender that restarts now, and each draws a new phase.
 func (s *Sender) restorePhase(ep *endpointState) {
 	interval := s.callInterval(ep)
 	if ep.lastCharged+interval > s.now {
 		return
 	}
-	saved := 1 - s.failureWeight()*s.rng.Float64()
-	ep.lastCharged = s.now - seconds(saved*interval.Seconds())
+	ep.lastCharged = s.now - seconds(s.rng.Float64()*interval.Seconds())
 }
 
 // restoreScope restores the part that the endpoints of a limit scope share.
--- a/rules/health.go
+++ b/rules/health.go
@@ -108,11 +108,10 @@
 	case e.ConnectionLimitReached:
 		s.onConnectionLimit(endpoint)
 	case outcome == Cancelled && s.now-call.sentAt > s.lateAfter(endpoint, call.class()) &&
-		(s.noAlternative(endpoint) || !s.scopeAnsweredSince(endpoint.limitScope, call.sentAt)) &&
-		s.treatsAsOutage():
+		(s.noAlternative(endpoint) || !s.scopeAnsweredSince(endpoint.limitScope, call.sentAt)):
 		// Cancelled to free its slot, or as the endpoint was unresponsive: a hang shows in no other way.
 		s.onFailure(endpoint, call.sentAt, TimedOut)
-	case outcome == TimedOut && s.now-call.sentAt < minLateAfter && s.treatsAsOutage():
+	case outcome == TimedOut && s.now-call.sentAt < minLateAfter:
 		// The message ran out of time: this shows nothing about the endpoint.
 	case outcome != Cancelled && outcome != NotSent:
 		s.onFailure(endpoint, call.sentAt, outcome)
@@ -130,9 +129,8 @@
 }
 
 // onSuccess processes an answer. On probation only the answer to a call sent since probation began starts
-// the slow start: an older call may have been served before the outage. For the same reason, in a large
-// fleet the answer to a call sent before the latest failed one clears no failures, or many senders would go
-// on together.
+// the slow start: an older call may have been served before the outage. For the same reason the answer to a
+// call sent before the latest failed one clears no failures, or the senders would go on together.
 func (s *Sender) onSuccess(call *call, elapsed time.Duration) {
 	endpoint, sentAt := call.endpoint, call.sentAt
 	health := call.classHealth()
@@ -145,7 +143,7 @@
 	scope := endpoint.limitScope
 	acrossRestart := endpoint.outageAcrossRestart(sentAt)
 	scopeSuspected := scope.countScopeAnswer(sentAt)
-	if endpoint.consecutiveFailures > 0 && (sentAt > endpoint.lastFailedSentAt || !s.treatsAsOutage()) {
+	if endpoint.consecutiveFailures > 0 && sentAt > endpoint.lastFailedSentAt {
 		endpoint.consecutiveFailures = 0
 	}
 	endpoint.lastAnsweredAt, endpoint.connectRefusals, endpoint.connectNotBefore = s.now, 0, 0
@@ -164,10 +162,10 @@
 		s.brokenConnections.add(s.now, trafficSpan, 1)
 	case afterProbation:
 		endpoint.lastCharged = s.now
-		s.setHealth(endpoint, slowStart, s.estimateReturn(endpoint, sentAt), CauseAnswered)
+		s.setHealth(endpoint, slowStart, s.estimateReturn(call), CauseAnswered)
 		s.promoteScope(endpoint)
 	case outlasted || acrossRestart:
-		s.slowStartAfterSuspicion(endpoint, sentAt, scopeSuspected || acrossRestart)
+		s.slowStartAfterSuspicion(call, scopeSuspected || acrossRestart)
 	case endpoint.health == slowStart && s.now-endpoint.healthSince >= s.settings.WarmUp:
 		s.setHealth(endpoint, healthy, s.now, CauseWarm)
 	}
@@ -185,11 +183,11 @@
 }
 
 // onFailure processes a failed call that was sent at sentAt. A brief pause follows. Several failures in a
-// row, of a large fleet two, start probation. This guards against any outage after which the endpoint is
-// cold, and against many senders that each try once more. The cost of some failures in a row by chance is a
-// slow start.
+// row start probation, two where no other endpoint serves. This guards against any outage after which the
+// endpoint is cold, and against senders that each try once more. The cost of two failures in a row by chance
+// is a slow start.
 func (s *Sender) onFailure(endpoint *endpointState, sentAt time.Duration, outcome Outcome) {
-	if outcome == TimedOut && s.laterAnswered(endpoint, sentAt) {
+	if outcome == TimedOut && endpoint.answeredSince(sentAt) {
 		return // a single call was lost while others are answered
 	}
 	// A connect that fails well before its timeout was refused.
@@ -206,7 +204,7 @@
 	}
 	failedLate := outcome == Reset && s.now-sentAt > handshakeTime ||
 		outcome == ConnectError && s.now-sentAt > minLateAfter
-	if failedLate && s.treatsAsOutage() {
+	if failedLate {
 		// A hang, or a time without any answer, may end for all senders at once, and a brief pause would not spread
 		// out their retries.
 		endpoint.consecutiveFailures = max(endpoint.consecutiveFailures, 2)
@@ -223,7 +221,7 @@
 	}
 	if endpoint.health != probation &&
 		(endpoint.consecutiveFailures >= outageFailures ||
-			endpoint.consecutiveFailures > 1 && s.noAlternative(endpoint) && s.treatsAsOutage()) {
+			endpoint.consecutiveFailures > 1 && s.noAlternative(endpoint)) {
 		s.startProbation(endpoint, outcome, CauseFailures)
 	}
 }
@@ -325,7 +323,7 @@
 			s.renewConnections(ep)
 		} else if s.now-ep.connectionsRenewedAt > late {
 			s.renewConnections(ep)
-			if s.scopeAnsweredSince(ep.limitScope, s.now-unanswered) || !s.treatsAsOutage() {
+			if s.scopeAnsweredSince(ep.limitScope, s.now-unanswered) {
 				s.startProbation(ep, TimedOut, CauseUnresponsive)
 			} else {
 				s.startScopeProbation(ep, TimedOut, CauseUnresponsive)
--- a/rules/limitscope.go
+++ b/rules/limitscope.go
@@ -31,7 +31,7 @@
 // scope. asOutage says that it is an outage by itself.
 func (s *Sender) suspectScope(failed *endpointState, sentAt time.Duration, asOutage bool) {
 	scope := failed.limitScope
-	if s.scopeAnsweredSince(scope, sentAt) || !s.treatsAsOutage() {
+	if s.scopeAnsweredSince(scope, sentAt) {
 		return
 	}
 	failures := scope.consecutiveFailures + 1
@@ -99,7 +99,7 @@
 // still down soon fails again.
 func (s *Sender) promoteScope(returned *endpointState) {
 	for other := range returned.scopeEndpoints() {
-		if other.health == probation && s.treatsAsOutage() {
+		if other.health == probation {
 			s.inheritSlowStart(other, returned)
 		}
 	}
@@ -117,7 +117,7 @@
 // call unanswered may have a new outage, and is cold when that ends. The cost of a chance failure is the
 // warm-up so far.
 func (s *Sender) restartWarmUps(failed *endpointState) {
-	if failed.health == slowStart && s.treatsAsOutage() {
+	if failed.health == slowStart {
 		failed.restartWarmUp(s.now)
 	}
 	if !failed.limitScope.suspected() {
--- a/rules/observe.go
+++ b/rules/observe.go
@@ -48,7 +48,7 @@
 }
 
 // Suspicion is the first failure at an endpoint since its latest answer. Until probation it is all that is known of an
-// outage. Only a sender of a large fleet, where a single failure counts, records it.
+// outage.
 type Suspicion struct {
 	At             time.Duration // time of the step, as passed to Sender.Step
 	Endpoint       EndpointID
@@ -158,7 +158,7 @@
 
 // recordSuspicion records the first failure at an endpoint since its latest answer.
 func (s *Sender) recordSuspicion(ep *endpointState, outcome Outcome, sentAt time.Duration) {
-	if s.failureWeight() == 0 || len(s.observations.Suspicions) >= maxObservations {
+	if len(s.observations.Suspicions) >= maxObservations {
 		return
 	}
 	s.observations.Suspicions = append(s.observations.Suspicions, Suspicion{
--- a/rules/ratecontrol.go
+++ b/rules/ratecontrol.go
@@ -32,6 +32,10 @@
 	largeFleetRateSpan = 12 * time.Second
 	smallFleetRateSpan = 3 * time.Second
 
+	// From this number of senders on a sender makes so few calls that a single refusal may be all it sees of an
+	// outage.
+	sparseFleet = 12
+
 	// Refusals come from an outage, and not from a limit, if there are this many in a row without an
 	// answer, over at least this time, or if a Retry-After is longer than a limit's own.
 	outageRefusals    = 3
@@ -139,7 +143,7 @@
 		scope.firstRefusedAt = sentAt
 	}
 	scope.consecutiveRefusals++
-	lasting := s.treatsAsOutage() ||
+	lasting := s.settings.Senders >= sparseFleet ||
 		scope.consecutiveRefusals >= outageRefusals && s.now-scope.firstRefusedAt >= outageRefusalSpan
 	if retryAfter < longRetryAfter && !lasting {
 		return
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -6,7 +6,7 @@
 // unanswered until it was given up. Invariant: whatever the number of senders, the demand, the age of a
 // process and the kind and length of an outage, the calls that informed senders make in a fall window have a
 // mean of at most the part of the budget that budgetFraction returns. It holds because shares never sum to
-// more than the capacity over the fleet (largeFleetShare), because a share is spent evenly from a random
+// more than the capacity over the fleet (warmShare), because a share is spent evenly from a random
 // phase (randomPhase), and because a single failure that is not followed up at once limits its sender to its
 // share (suspicion.go, limitscope.go). docs/design.md derives it and says what senders that saw nothing may
 // add.
@@ -19,19 +19,10 @@
 )
 
 // SmallFleet is the number of senders up to which they use connections and limits without care for the
-// others.
+// others. What a sender does after a failure, and its share of a cold endpoint, do not depend on it.
 const SmallFleet = 12
 
-// Sizes of a fleet, in senders.
 const (
-	independentFleet = 7  // up to this size each sender sees enough to detect an outage by itself
-	largeFleet       = 12 // from this size on a single failure counts as an outage
-)
-
-const (
-	// Least rate in calls a second that a sender of a small fleet may count on at a warm endpoint.
-	minShareRate = 0.3
-
 	// Unless listed rates are exact, one may be higher than the true rate by this factor.
 	listedRateError = 1.1
 
@@ -51,8 +42,9 @@
 	// Share of the time between two probes that counts as warm-up at once.
 	warmUpCreditShare = 0.8
 
-	// While an outage is young, all senders together make up to this many probes in a time as long as its age so
-	// far. A sender of a smaller fleet probes as one of a fleet of minProbingSenders.
+	// While a destination cannot be cold yet, all senders together make up to this many probes in a time as long
+	// as has passed since this sender's latest answered call. A sender of a smaller fleet probes as one of a
+	// fleet of minProbingSenders.
 	probesPerOutageAge = 6
 	minProbingSenders  = 3
 )
@@ -74,35 +66,19 @@
 	smallBudgetAllowance = 3
 )
 
-// failureWeight returns how far a single failure counts as an outage: 0 in a small fleet, 1 in a large one.
-// In between, what follows from either is blended, so that no size of the fleet is a threshold.
-func (s *Sender) failureWeight() float64 {
-	return min(1, max(0, float64(s.settings.Senders-independentFleet)/(largeFleet-independentFleet)))
-}
-
-// treatsAsOutage decides at random, with the probability failureWeight, whether this sender treats a single
-// failure as an outage.
-func (s *Sender) treatsAsOutage() bool {
-	weight := s.failureWeight()
-	return weight > 0 && s.rng.Float64() < weight
-}
-
 // randomPhase returns a time at which the latest call of an endpoint's share may have been, a random part
 // of an interval ago, so that senders which are limited from the same moment on do not send at the same
 // moment.
 func (s *Sender) randomPhase(endpoint *endpointState) time.Duration {
 	endpoint.probeInterval = s.shareInterval(endpoint)
-	if weight := s.failureWeight(); weight > 0 {
-		return s.now - seconds(weight*s.rng.Float64()*endpoint.probeInterval.Seconds())
-	}
-	return s.now
+	return s.now - seconds(s.rng.Float64()*endpoint.probeInterval.Seconds())
 }
 
 // resetPhase gives up the calls that the share has allowed since the latest one. It follows a call that ended
 // without an answer while its endpoint was limited: all calls that a hang held up end at the same moment, and
 // would be followed by others at that moment.
 func (s *Sender) resetPhase(endpoint *endpointState) {
-	if endpoint.health != healthy && s.failureWeight() > 0 {
+	if endpoint.health != healthy {
 		endpoint.lastCharged = max(endpoint.lastCharged, s.randomPhase(endpoint))
 		s.touch(endpoint)
 	}
@@ -116,27 +92,28 @@
 	}
 }
 
-// estimateReturn returns when an endpoint that answered a probe is likely to have come back. In a large
-// fleet that is half-way between this sender's latest failure and the answer, in a small one the time of
-// the answer. Over the fleet the mean of these estimates is right, as each sender's probes fall at random
-// times. Counted from the answer, the slow start of senders that probe seldom would never end.
+// estimateReturn returns when an endpoint that answered a probe is likely to have come back: half-way
+// between this sender's latest failure and the answer. Over the fleet the mean of these estimates is right,
+// as each sender's probes fall at random times. Counted from the answer, the slow start of senders that
+// probe seldom would never end.
 //
 // Other senders only find the endpoint with their next probes. Meanwhile those that have found it may count
 // most of the time between probes as warm-up: the share of senders that have found the endpoint grows as it
 // warms up.
-func (s *Sender) estimateReturn(endpoint *endpointState, answeredSentAt time.Duration) time.Duration {
-	lastFailedSentAt := max(endpoint.lastFailedSentAt, endpoint.limitScope.lastFailedSentAt)
-	between := s.failureWeight() * max(0, answeredSentAt-lastFailedSentAt).Seconds()
+func (s *Sender) estimateReturn(answered *call) time.Duration {
+	endpoint := answered.endpoint
+	outUntil := max(endpoint.lastFailedSentAt, endpoint.limitScope.lastFailedSentAt)
+	between := max(0, answered.sentAt-outUntil).Seconds()
 	endpoint.warmUpCredit = seconds(warmUpCreditShare * between)
 	return s.now - seconds(between/2)
 }
 
 // measurePreOutageRate returns the rate that this sender delivered to an endpoint before an outage. Right
-// after an answer the measured rate of a sender with little traffic is too high, so in a large fleet that
-// answer does not count.
+// after an answer the measured rate of a sender with little traffic is too high, so that answer does not
+// count.
 func (s *Sender) measurePreOutageRate(endpoint *endpointState) float64 {
 	rate := endpoint.deliveredRate.perSecond(endpoint.deliveredRate.last, trafficSpan)
-	return max(0, rate-s.failureWeight()/trafficSpan.Seconds())
+	return max(0, rate-1/trafficSpan.Seconds())
 }
 
 // warmCapacity returns the share of its capacity that an endpoint must have regained for the next call. One
@@ -148,7 +125,7 @@
 	if endpoint.health == slowStart && !endpoint.mustWait() {
 		elapsed = max(s.meanWarmUp(endpoint), endpoint.warmUpCredit).Seconds()
 	}
-	elapsed += s.failureWeight() * s.settings.FallWindow.Seconds() / 2
+	elapsed += s.settings.FallWindow.Seconds() / 2
 	warm := min(1, elapsed/max(s.settings.WarmUp.Seconds(), minDivisor))
 	return s.settings.ColdShare + (1-s.settings.ColdShare)*warm
 }
@@ -176,26 +153,11 @@
 	return shares
 }
 
-// smallFleetShare returns the calls a second that a sender of a small fleet may count on at a warm
-// endpoint: the most of what it delivered there, its part of the listed rate, and a minimum.
-func (s *Sender) smallFleetShare(endpoint *endpointState, shares float64) float64 {
-	part := endpoint.listedRate / shares
-	if !s.settings.RatesExact {
-		part /= 2 // a listed rate may be half too high
-	}
-	// The minimum is bounded by this sender's own traffic: after a long outage all senders with little
-	// traffic have something to send.
-	ownTraffic := endpoint.destination.arrivalRate.perSecond(s.now, trafficSpan) /
-		float64(endpoint.destination.endpointCount())
-	return max(s.deliveredBefore(endpoint), part, min(minShareRate, ownTraffic))
-}
-
-// largeFleetShare returns the calls a second that a sender of a large fleet may count on at a warm
-// endpoint: its part of the listed rate or, if that is more, what it delivered itself before the outage.
-// Equal parts of a listed rate sum to the capacity, and deliveries to no more than it. Where no rate is
-// listed, a share of this sender's demand stands in for its part. That is within the capacity up to a
-// demand of four times the capacity.
-func (s *Sender) largeFleetShare(endpoint *endpointState, shares float64) float64 {
+// warmShare returns the calls a second that this sender may count on at a warm endpoint: its part of the
+// listed rate or, if that is more, what it delivered itself before the outage. Equal parts of a listed rate
+// sum to the capacity, and deliveries to no more than it. Where no rate is listed, a share of this sender's
+// demand stands in for its part. That is within the capacity up to a demand of four times the capacity.
+func (s *Sender) warmShare(endpoint *endpointState, shares float64) float64 {
 	if endpoint.listedRate == 0 {
 		demand := endpoint.destination.arrivalRate.perSecond(s.now, trafficSpan) /
 			float64(endpoint.destination.endpointCount())
@@ -261,43 +223,35 @@
 
 // shareInterval returns the time between calls that this sender's share of an endpoint's slow start budget
 // allows. A share of less than a call in a fall window gives an interval longer than the window. All
-// senders together may always make one call in a window, in a small fleet two.
+// senders together may always make one call in a window.
 func (s *Sender) shareInterval(endpoint *endpointState) time.Duration {
 	shares := s.shareCount(endpoint)
 	capacity := s.warmCapacity(endpoint)
-	weight := s.failureWeight()
 	window := s.settings.FallWindow.Seconds()
-	share := 0.0
-	if weight < 1 {
-		share += (1 - weight) * s.smallFleetShare(endpoint, shares)
-	}
-	if weight > 0 {
-		part := s.largeFleetShare(endpoint, shares)
-		budget := s.settings.OverloadFactor * part * shares * capacity * window
-		share += weight * part * budgetFraction(budget) / s.informedFraction(endpoint, part)
-	}
+	part := s.warmShare(endpoint, shares)
+	budget := s.settings.OverloadFactor * part * shares * capacity * window
+	share := part * budgetFraction(budget) / s.informedFraction(endpoint, part)
 	rate := s.settings.OverloadFactor * share * capacity
-	return seconds(min(window*shares/(2-weight), 1/max(rate, minDivisor)))
+	return seconds(min(window*shares, 1/max(rate, minDivisor)))
 }
 
 // callInterval returns the time between calls to an endpoint on probation or slow start.
 func (s *Sender) callInterval(endpoint *endpointState) time.Duration {
-	interval := s.shareInterval(endpoint)
 	if endpoint.health != probation {
-		return interval
+		return s.shareInterval(endpoint)
 	}
-	// A young outage cannot have left anything cold, so probes may be more frequent than the share allows.
-	outageAge := max(s.now-endpoint.failingSince, minLateAfter)
-	senders := time.Duration(max(s.settings.Senders, minProbingSenders))
-	interval = min(interval, outageAge*senders/probesPerOutageAge)
 	if endpoint.symptom == Refused && s.now-endpoint.failingSince < maxBriefOutage {
 		return 0 // an endpoint that refuses does answer: the rate controller spaces the probes
 	}
-	// The share shrinks as an outage gets older. An interval that began under a larger share is not extended.
-	if weight := s.failureWeight(); weight > 0 {
-		interval = seconds(weight*endpoint.probeInterval.Seconds() + (1-weight)*interval.Seconds())
+	// What answered a call just now cannot be cold, so a few senders may probe more often than their share
+	// allows. In a large fleet the probes of those that have no such answer come beside.
+	age := max(s.now-endpoint.limitScope.lastAnsweredSentAt, minLateAfter)
+	if s.settings.Senders <= SmallFleet && age < maxBriefOutage {
+		senders := time.Duration(max(s.settings.Senders, minProbingSenders))
+		return min(endpoint.probeInterval, age*senders/probesPerOutageAge)
 	}
-	return interval
+	// The share shrinks as an outage gets older. An interval that began under a larger share is not extended.
+	return endpoint.probeInterval
 }
 
 // slowStartAdmits returns the earliest time at which slow start permits a call to an endpoint. Every call
--- a/rules/suspicion.go
+++ b/rules/suspicion.go
@@ -1,7 +1,7 @@
 // This file owns suspicion: how a sender treats an endpoint whose latest outcome is a failure, as long as
-// it does not consider the endpoint down. The senders of a small fleet go on as before. In a large fleet
-// each waits briefly and then lets a single call find out. Suspicion ends with an answer to a later call,
-// or with probation. It must never let many senders go on at the same moment.
+// it does not consider the endpoint down. Each waits briefly and then lets a single call find out. Suspicion
+// ends with an answer to a later call, or with probation. It must never let the senders go on at the same
+// moment, however few they are.
 
 package rules
 
@@ -41,12 +41,11 @@
 // outcome will show whether it is down, so that others wait for it. This keeps a backlog from leaving all at
 // once when a pause ends. Where answers are slow, the cost is that the backlog leaves late.
 func (s *Sender) awaitsConfirmation(endpoint *endpointState) bool {
-	limit := max(1, int((1-s.failureWeight())*float64(s.settings.Slots)))
-	if limit >= s.settings.Slots || endpoint.health != healthy {
+	if endpoint.health != healthy {
 		return false
 	}
-	return endpoint.consecutiveFailures > 0 && len(endpoint.calls) >= limit ||
-		endpoint.limitScope.suspected() && endpoint.followUpCalls() >= limit
+	return endpoint.consecutiveFailures > 0 && len(endpoint.calls) > 0 ||
+		endpoint.limitScope.suspected() && endpoint.followUpCalls() > 0
 }
 
 // expireSuspicions puts endpoints on probation whose latest outcome is a failure that no call has followed
@@ -54,14 +53,11 @@
 // calls that had to wait for a slot or a message: they would leave from many senders at the same moment, as
 // slots become free by what ends for all senders at once.
 func (s *Sender) expireSuspicions() {
-	if s.failureWeight() == 0 {
-		return
-	}
 	for _, d := range s.backlogged {
 		for _, ep := range d.endpoints {
 			notFollowedUp := ep.mustWait() && ep.health == healthy &&
 				s.now > d.retryNotBefore+followUpGrace && len(ep.calls) == 0 && ep.followUpCalls() == 0
-			if notFollowedUp && s.noAlternative(ep) && s.treatsAsOutage() {
+			if notFollowedUp && s.noAlternative(ep) {
 				ep.inheritFailingSince()
 				s.startProbation(ep, TimedOut, CauseFailures)
 			}
@@ -80,8 +76,7 @@
 		failingSince = min(failingSince, scope.failingSince)
 		lastFailedSentAt = max(lastFailedSentAt, scope.lastFailedSentAt)
 	}
-	if !endpoint.mustWait() || sentAt <= lastFailedSentAt ||
-		endpoint.health == probation || !s.treatsAsOutage() {
+	if !endpoint.mustWait() || sentAt <= lastFailedSentAt || endpoint.health == probation {
 		return false
 	}
 	return endpoint.health == slowStart || sentAt-failingSince >= maxBriefOutage && s.noAlternative(endpoint)
@@ -89,13 +84,14 @@
 
 // slowStartAfterSuspicion begins the slow start that follows such a suspicion, anew if one is under way. If
 // the limit scope was suspected, all its endpoints begin theirs.
-func (s *Sender) slowStartAfterSuspicion(endpoint *endpointState, sentAt time.Duration, scopeSuspected bool) {
+func (s *Sender) slowStartAfterSuspicion(answered *call, scopeSuspected bool) {
+	endpoint := answered.endpoint
 	if scopeSuspected {
 		endpoint.lastFailedSentAt = max(endpoint.lastFailedSentAt, endpoint.limitScope.lastFailedSentAt)
 	}
 	s.leaveHealthy(endpoint, TimedOut)
 	endpoint.lastCharged = s.now
-	since := max(endpoint.healthSince, s.estimateReturn(endpoint, sentAt))
+	since := max(endpoint.healthSince, s.estimateReturn(answered))
 	s.setHealth(endpoint, slowStart, since, CauseAnswered)
 	if !scopeSuspected {
 		return
@@ -111,9 +107,6 @@
 // inheritFailures gives a new endpoint the failures and the health of its destination's other endpoints.
 // Otherwise the whole backlog would go to the new endpoint at once.
 func (s *Sender) inheritFailures(endpoint *endpointState) {
-	if s.settings.Senders <= SmallFleet {
-		return
-	}
 	for _, other := range endpoint.destination.endpoints {
 		if other.limitScope != endpoint.limitScope || other == endpoint {
 			continue
@@ -121,7 +114,7 @@
 		endpoint.consecutiveFailures = max(endpoint.consecutiveFailures, other.consecutiveFailures)
 		s.touch(endpoint)
 		if other.health != healthy && endpoint.health == healthy &&
-			!hasHealthyEndpoint(endpoint.destination, endpoint) && s.treatsAsOutage() {
+			!hasHealthyEndpoint(endpoint.destination, endpoint) {
 			endpoint.symptom, endpoint.failingSince = other.symptom, other.failingSince
 			s.setHealth(endpoint, other.health, other.healthSince, CauseInherited)
 			endpoint.lastCharged = s.randomPhase(endpoint)
@@ -145,12 +138,9 @@
 		!hasHealthyEndpoint(endpoint.destination, endpoint)
 }
 
-// laterAnswered reports whether an answer shows that an endpoint which left a call unanswered is up. In a
-// large fleet only the answer to a later call does: calls from before an outage may be answered after one
-// that the outage left unanswered.
-func (s *Sender) laterAnswered(endpoint *endpointState, sentAt time.Duration) bool {
-	if s.treatsAsOutage() {
-		return endpoint.lastAnsweredSentAt > sentAt
-	}
-	return endpoint.lastAnsweredAt > sentAt
+// answeredSince reports whether an answer shows that an endpoint which left a call unanswered is up. Only the
+// answer to a later call does: calls from before an outage may be answered after one that the outage left
+// unanswered.
+func (ep *endpointState) answeredSince(sentAt time.Duration) bool {
+	return ep.lastAnsweredSentAt > sentAt
 }
