The return of a destination is not dated into its outage

Cause: a returning endpoint's warm-up is counted from half-way between the latest call known to have failed and the answered one. That holds for probes at random times. Here the outage held all slots, no probe left for 10 s, and the first one left as the slots came free, with the return: up to 5 s of the outage counted as warm-up, and by the credit more.

Change: two things that are known already count. A call that is reset shows that its process was there, and out, until now; and the time is counted from this sender's latest call before (or where a lack of slots had the phase drawn anew), answered or not.

--- a/lab/world/small_destinations_test.go
+++ b/lab/world/small_destinations_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,6 +31,26 @@
 		p.seed, p.senders, p.outageKind, p.length, p.rate, p.slots, p.effect, p.ratesListed)
 }
 
+// drawSmallRun draws the size of the fleet, the outage, the demand and the settings.
+func drawSmallRun(seed uint64) smallRun {
+	r := rand.New(rand.NewPCG(seed, 74))
+	oneOf := func(values ...string) string { return values[r.IntN(len(values))] }
+	p := smallRun{
+		seed:        seed,
+		senders:     2 + r.IntN(12),
+		outageKind:  oneOf("hang", "hang", "vanish", "vanish", "crash", "errors", "refusals", "shut", "lost_answers"),
+		length:      time.Duration(6000+r.IntN(14001)) * time.Millisecond,
+		rate:        25 + r.IntN(46),
+		slots:       8 + r.IntN(53),
+		effect:      oneOf("keyed", "once", "safe"),
+		ratesListed: oneOf("none", "rough", "exact"),
+	}
+	if r.IntN(8) == 0 {
+		p.senders = []int{1, 24, 48}[r.IntN(3)]
+	}
+	return p
+}
+
 // scenario returns the run's scenario, which ends once the destinations must have warmed up.
 func (p smallRun) scenario(t *testing.T) *scenario.Scenario {
 	t.Helper()
@@ -47,9 +70,47 @@
 	return s
 }
 
-// TestSmallDestinationsAfterAHang guards against a small destination that comes back cold and is pushed over by senders that saw
-// its outage: those of a fleet of two to nine gave up calls there, took it for healthy, and sent it all that had waited as it
-// came back. It plays the outages that a call given up is all the evidence of.
+// TestSmallDestinationsAreNotPushedOver guards against a small destination that comes back cold and is pushed over by
+// senders that saw its outage: those of a fleet of two to nine gave up calls there, took it for healthy, and sent it all
+// that had waited as it came back. It simulates 400 random runs; EIDERHAVEN_GRID sets another number.
+func TestSmallDestinationsAreNotPushedOver(t *testing.T) {
+	runs, firstSeed := 400, uint64(1)
+	if n, err := strconv.Atoi(os.Getenv("EIDERHAVEN_GRID")); err == nil {
+		runs, firstSeed = n, 10_000
+	}
+	var mu sync.Mutex
+	broken, served := 0, 0.0
+	var margins []float64
+	t.Run("runs", func(t *testing.T) {
+		for i := range uint64(runs) {
+			p := drawSmallRun(firstSeed + i)
+			t.Run(strconv.FormatUint(p.seed, 10), func(t *testing.T) {
+				t.Parallel()
+				r, err := Run(p.scenario(t), Options{Seed: p.seed, Workers: 1})
+				if err != nil {
+					t.Fatal(err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				served += r.Whole
+				margins = append(margins, r.Margins...)
+				if len(r.Violations) > 0 {
+					broken++
+					t.Errorf("%v: %v\n\t%s", p, r.Violations[0], strings.Join(r.Violations[0].Trail, "\n\t"))
+				}
+			})
+		}
+	})
+	got := margin.Summarize(margins)
+	t.Logf("%d runs: rules broken in %d, mean served %.4f, %v", runs, broken, served/float64(runs), got)
+	const maxMean = 0.5 // of the margins
+	if got.Mean >= maxMean {
+		t.Errorf("%v: want a mean below %v", got, maxMean)
+	}
+}
+
+// TestSmallDestinationsAfterAHang makes the checks of TestSmallDestinationsAreNotPushedOver at each size of fleet, behind the
+// outages that a call given up is all the evidence of.
 func TestSmallDestinationsAfterAHang(t *testing.T) {
 	for _, kind := range []string{"hang", "vanish"} {
 		for _, senders := range []int{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 48} {
--- a/rules/calls.go
+++ b/rules/calls.go
@@ -10,7 +10,7 @@
 
 // openCall records a call with the given messages to an endpoint.
 func (s *Sender) openCall(ep *endpointState, msgs []*message) *call {
-	c := &call{endpoint: ep, sentAt: s.now, openAttempts: len(msgs)}
+	c := &call{endpoint: ep, sentAt: s.now, chargedBefore: ep.lastCharged, openAttempts: len(msgs)}
 	for _, m := range msgs {
 		a := &attempt{id: m.id, number: m.attemptCount + m.recalls, call: c, message: m}
 		m.attemptCount++
--- a/rules/health.go
+++ b/rules/health.go
@@ -195,6 +195,9 @@
 		s.answersSinceConnectRefusal[endpoint.kind] = keepOpenAnswers - keepOpenAnswersAfterRefusal
 	}
 	endpoint.lastFailedSentAt = max(endpoint.lastFailedSentAt, sentAt)
+	if outcome == Reset {
+		endpoint.lastFailedSentAt = s.now // its process has ended just now, so it was out until now
+	}
 	endpoint.consecutiveFailures++
 	if endpoint.consecutiveFailures == 1 {
 		s.recordSuspicion(endpoint, outcome, sentAt)
--- a/rules/slowstart.go
+++ b/rules/slowstart.go
@@ -93,16 +93,19 @@
 }
 
 // estimateReturn returns when an endpoint that answered a probe is likely to have come back: half-way
-// between this sender's latest failure and the answer. Over the fleet the mean of these estimates is right,
-// as each sender's probes fall at random times. Counted from the answer, the slow start of senders that
-// probe seldom would never end.
+// between this sender's latest call before that is known to have failed or has no answer yet, and the
+// answer. Over the fleet the mean of these estimates is right, as each sender's probes fall at random
+// times. Counted from the answer, the slow start of senders that probe seldom would never end.
+//
+// A probe that waits for a slot does not fall at a random time: a slot comes free as the outage ends. The
+// time since the latest failure would then count as warm-up in part, though none of it was.
 //
 // Other senders only find the endpoint with their next probes. Meanwhile those that have found it may count
 // most of the time between probes as warm-up: the share of senders that have found the endpoint grows as it
 // warms up.
 func (s *Sender) estimateReturn(answered *call) time.Duration {
 	endpoint := answered.endpoint
-	outUntil := max(endpoint.lastFailedSentAt, endpoint.limitScope.lastFailedSentAt)
+	outUntil := max(endpoint.lastFailedSentAt, endpoint.limitScope.lastFailedSentAt, answered.chargedBefore)
 	between := max(0, answered.sentAt-outUntil).Seconds()
 	endpoint.warmUpCredit = seconds(warmUpCreditShare * between)
 	return s.now - seconds(between/2)
--- a/rules/slowstart_test.go
+++ b/rules/slowstart_test.go
@@ -369,3 +369,36 @@
 		t.Errorf("%.3f of the senders call within %v, want the %.3f that the rate allows", called, span, expected)
 	}
 }
+
+// TestReturnIsNotDatedIntoTheOutage guards against a destination that is taken for warm while it is cold: what held up the
+// probes, as all slots were taken, ended with the outage, and half of the time since the latest known failure counted as
+// warm-up. A call that is reset, and one without an answer, show that the outage lasted longer.
+func TestReturnIsNotDatedIntoTheOutage(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(b *bench, ep *endpointState) // 10 s behind the latest known failure
+		latest  time.Duration                     // most that the return may lie before the answered call
+	}{
+		{"nothing known since", func(*bench, *endpointState) {}, 5*sec + 10*ms},
+		{"a call reset just now", func(b *bench, ep *endpointState) { b.s.onFailure(ep, b.s.now-15*sec, Reset) }, 100 * ms},
+		{"a probe 2 s ago without an answer", func(b *bench, ep *endpointState) { ep.lastCharged = b.s.now - 2*sec }, sec + 10*ms},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.s.now = b.now
+			ep := b.s.endpoint(11)
+			b.s.startProbation(ep, TimedOut, CauseUnresponsive)
+			ep.failingSince = b.now - 10*sec
+			ep.lastCharged = b.now
+			b.s.now += 10 * sec
+			c.prepare(b, ep)
+			b.s.now += 10 * ms
+			probe := b.s.openCall(ep, []*message{{id: "probe", destination: ep.destination, class: &b.s.settings.Classes[safe]}})
+			b.s.chargeCall(ep)
+			b.s.onSuccess(probe, 10*ms)
+			if before := probe.sentAt - ep.healthSince; ep.health != slowStart || before > c.latest {
+				t.Errorf("health %d, return %v before the answered call, want slow start and at most %v", ep.health, before, c.latest)
+			}
+		})
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -143,6 +143,7 @@
 type call struct {
 	endpoint      *endpointState
 	sentAt        time.Duration
+	chargedBefore time.Duration // what the endpoint's lastCharged was until this call
 	attempts      []*attempt
 	openAttempts  int  // attempts without an outcome
 	assessed      bool // its first outcome was counted for the endpoint
