Two refusals over two seconds without an answer are an outage

Cause: below 12 senders a refusal was an outage only from three in a row over 5 s on. At the least rate the third comes 3.4 s behind the first, the fourth 6.3 s.

Change: two in a row over 2 s, longer than the gap behind a first refusal, so that a busy sender whose rate is still high does not take a burst of refusals for an outage.

TestRefusalsInARowAreAnOutage failed before ("behind that gap").

--- a/rules/ratecontrol.go
+++ b/rules/ratecontrol.go
@@ -38,8 +38,8 @@
 
 	// Refusals come from an outage, and not from a limit, if there are this many in a row without an
 	// answer, over at least this time, or if a Retry-After is longer than a limit's own.
-	outageRefusals    = 3
-	outageRefusalSpan = 5 * time.Second
+	outageRefusals    = 2
+	outageRefusalSpan = 2 * time.Second // longer than the gap that follows a first refusal
 	longRetryAfter    = 2500 * time.Millisecond
 )
 
--- a/rules/ratecontrol_test.go
+++ b/rules/ratecontrol_test.go
@@ -254,3 +254,32 @@
 		}
 	}
 }
+
+// TestRefusalsInARowAreAnOutage guards against a few senders that are refused throughout an outage and call on at the rate
+// that a limit would leave them: on its return a small destination got more from them than it can bear cold.
+func TestRefusalsInARowAreAnOutage(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		apart    time.Duration
+		answered bool // between the refusals
+		want     health
+	}{
+		{"at once", 10 * ms, false, healthy},
+		{"within the gap that follows a refusal", sec, false, healthy},
+		{"behind that gap", outageRefusalSpan, false, probation},
+		{"answered between", outageRefusalSpan, true, healthy},
+	} {
+		b := newBench(t, func(s *Settings) { s.Senders = 10 })
+		b.serve(1, safe, 11)
+		b.s.now = b.now
+		b.s.onRefusal(b.s.endpoint(11), b.s.now, 0)
+		b.s.now += c.apart
+		if c.answered {
+			b.processAnswer(11, safe, 5*ms)
+		}
+		b.s.onRefusal(b.s.endpoint(11), b.s.now, 0)
+		if got := b.s.endpoint(11).health; got != c.want {
+			t.Errorf("%s: health %d, want %d", c.name, got, c.want)
+		}
+	}
+}
