Messages that share a call fit in the body that the protocol allows

PROTOCOL: "A body holds at most 64 KiB"; the sender broke it.

Cause: the module and the exchange grouped messages by number alone. Change: Arrived.Bytes tells the module a message's part of a shared body, a call ends before the first message that does not fit, and the exchange keeps the same limit where it joins the sends of a step.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -294,6 +294,7 @@
 		ID:          rules.MessageID(m.ID),
 		Destination: m.Dest,
 		Class:       class,
+		Bytes:       BatchedBytes(m),
 		Tenant:      x.tenantIndex(m.Tenant),
 		Recovered:   true,
 		Prior:       prior,
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -1049,3 +1049,35 @@
 		}
 	}
 }
+
+// TestLongMessagesTravelInSeveralCalls guards against a call over the longest body that the protocol allows, which is
+// refused as a whole (review case 6): no more messages share a call than fit, and all are sent.
+func TestLongMessagesTravelInSeveralCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, t.TempDir(), nil)
+		h.Recover()
+		for i := range 4 {
+			m := newMessage(fmt.Sprint("m", i), "payment", 2)
+			m.Body = make([]byte, 30<<10)
+			h.Exchange.accept(m, make(chan Answer, 1))
+		}
+		h.step()
+		h.advanceClock(time.Second) // the messages have waited long enough for others to share their call
+		h.step()
+		sent := 0
+		for len(h.endpoints.started) > 0 {
+			call := <-h.endpoints.started
+			bytes := 0
+			for _, m := range call.Items {
+				bytes += BatchedBytes(m)
+			}
+			if sent += len(call.Items); bytes > rules.MaxCallBytes {
+				t.Errorf("a call of %d messages has %d bytes, want at most %d", len(call.Items), bytes, rules.MaxCallBytes)
+			}
+		}
+		if sent != 4 {
+			t.Errorf("%d messages sent, want 4", sent)
+		}
+		h.ledger.Close()
+	})
+}
--- a/internal/exchange/step.go
+++ b/internal/exchange/step.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"eiderhaven/internal/ledger"
@@ -25,6 +26,7 @@
 	endpoint    rules.EndpointID
 	sentAt      time.Duration
 	attempts    []attempt
+	bytes       int           // of its body, if it has several messages
 	timeoutAt   time.Duration // longest timeout of its attempts, but no later than its messages' first deadline
 	abandoned   bool
 	abandonedAs rules.Outcome // outcome of the call if it was abandoned after it was written
@@ -81,6 +83,7 @@
 		ID:          rules.MessageID(m.ID),
 		Destination: m.Dest,
 		Class:       class,
+		Bytes:       BatchedBytes(m),
 		Tenant:      x.tenantIndex(m.Tenant),
 	})
 }
@@ -165,8 +168,8 @@
 	return err
 }
 
-// startCalls groups the sends of one step by endpoint, up to the batch size of the endpoint's kind, and starts a call
-// for each group. The last step starts none, as nobody would process the answers.
+// startCalls groups the sends of one step by endpoint, up to the batch size of the endpoint's kind and the longest body
+// of a call, and starts a call for each group. The last step starts none, as nobody would process the answers.
 func (x *Exchange) startCalls(now time.Duration, sends []rules.Send) {
 	if x.stopping {
 		return
@@ -187,12 +190,14 @@
 		h.attempts++
 		x.counts.Attempts++
 		call := open[s.Endpoint]
-		if call == nil || len(call.attempts) >= x.batchSize(host.Kind) {
+		bytes := BatchedBytes(h.message)
+		if call == nil || len(call.attempts) >= x.batchSize(host.Kind) || call.bytes+bytes > rules.MaxCallBytes {
 			call = &callInFlight{endpoint: s.Endpoint, sentAt: now, request: &Call{To: host.Peer}}
 			call.request.inFlight = call
 			open[s.Endpoint] = call
 			calls = append(calls, call)
 		}
+		call.bytes += bytes
 		call.attempts = append(call.attempts, a)
 		call.request.lifecycles = append(call.request.lifecycles, h.lifecycle)
 		call.request.LastUse = s.LastUse
@@ -208,6 +213,14 @@
 	}
 }
 
+// BatchedBytes returns the length of a message's part in the body of a call with several messages: a line with its ID,
+// its idempotency key ("-" for none) and its length, then its bytes and a line end.
+func BatchedBytes(m *message.Message) int {
+	const spaces, lineEnds = 2, 4
+	length := len(strconv.Itoa(len(m.Body)))
+	return len(m.ID) + max(len(m.IdempotencyKey), len("-")) + length + len(m.Body) + spaces + lineEnds
+}
+
 // batchSize returns how many messages a call to an endpoint of this kind may carry.
 func (x *Exchange) batchSize(kind int) int {
 	if kind >= 0 && kind < len(x.cfg.Settings.Kinds) {
--- a/rules/api.go
+++ b/rules/api.go
@@ -147,6 +147,7 @@
 	Destination int           // number of the destination
 	Class       int           // index in Settings.Classes
 	Tenant      int           // index in Settings.Tenants; one beyond their number has no share
+	Bytes       int           // its part of the body of a call with several messages; 0 if unknown
 	OrderKey    string        // used with Class.KeepOrder; empty for no order
 	Recovered   bool          // an earlier process of this sender accepted it
 	TimeLeft    time.Duration // until its deadline
@@ -154,6 +155,10 @@
 	Prior       PriorAttempts
 }
 
+// MaxCallBytes limits the Arrived.Bytes of the messages that one call carries together: the longest body that the
+// protocol allows.
+const MaxCallBytes = 64 << 10
+
 // PriorAttempts is the history of a message that an earlier process of the same sender accepted and did not finish, or
 // that was taken for delivered by a response that was not its own. The zero value is a new message.
 type PriorAttempts struct {
--- a/rules/scheduling.go
+++ b/rules/scheduling.go
@@ -155,10 +155,13 @@
 		batch = 1
 		best = s.rankMessages(destination, endpoint, batch, func(e Effect) bool { return e != Safe })
 	}
+	fitting := fitInCall(best)
+	cutShort := len(fitting) < len(best)
+	best = fitting
 	anyWaited := func() bool {
 		return slices.ContainsFunc(best, func(r rankedMessage) bool { return s.waitedForBatch(r.message) })
 	}
-	if len(best) < batch && !anyWaited() {
+	if len(best) < batch && !cutShort && !anyWaited() {
 		return plan{}
 	}
 	p := plan{endpoint: endpoint}
@@ -170,6 +173,18 @@
 	return p
 }
 
+// fitInCall returns the first of the ranked messages that fit in the body of one call together: all up to the
+// first that does not. A single message always fits.
+func fitInCall(ranked []rankedMessage) []rankedMessage {
+	bytes := 0
+	for i, r := range ranked {
+		if bytes += r.message.bytes; bytes > MaxCallBytes && i > 0 {
+			return ranked[:i]
+		}
+	}
+	return ranked
+}
+
 // rankMessages returns the waiting messages of certain effects that gain most at an endpoint, up to a limit.
 func (s *Sender) rankMessages(destination *destinationState, endpoint *endpointState, limit int,
 	permits func(Effect) bool) []rankedMessage {
--- a/rules/scheduling_test.go
+++ b/rules/scheduling_test.go
@@ -301,3 +301,29 @@
 		}
 	}
 }
+
+// TestLongMessagesDoNotShareACall guards against a call whose body is longer than the protocol allows: it is refused as a
+// whole each time, and its messages are never delivered.
+func TestLongMessagesDoNotShareACall(t *testing.T) {
+	const batches = 2 // kind with calls of up to four messages
+	for _, c := range []struct {
+		bytes int // of each of four messages
+		want  int // messages of the first call
+	}{
+		{0, 4}, {MaxCallBytes / 4, 4}, {MaxCallBytes/4 + 1, 3}, {30 << 10, 2}, {MaxCallBytes, 1}, {2 * MaxCallBytes, 1},
+	} {
+		b := newBench(t, nil, Entry{Endpoint: 11, Destination: 1, Kind: batches})
+		var arrived []Event
+		for range 4 {
+			arrived = append(arrived, Arrived{ID: b.newMessageID(), Destination: 1, Class: safe, Bytes: c.bytes, TimeLeft: 16 * sec})
+		}
+		b.step(arrived...)
+		b.wait(sec)
+		if got := len(b.s.calls[0].attempts); got != c.want {
+			t.Errorf("messages of %d bytes: the first call has %d, want %d", c.bytes, got, c.want)
+		}
+		if got := len(sends(b.actions)); got != 4 {
+			t.Errorf("messages of %d bytes: %d were sent, want all 4", c.bytes, got)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -180,6 +180,7 @@
 	class           *Class
 	classIndex      int
 	tenant          int
+	bytes           int         // of the body of a call with several messages
 	orderQueue      *orderQueue // nil without an order key
 	deadline        time.Duration
 	recovered       bool // an earlier process accepted it
@@ -408,6 +409,7 @@
 		class:           &s.settings.Classes[e.Class],
 		classIndex:      e.Class,
 		tenant:          e.Tenant,
+		bytes:           e.Bytes,
 		deadline:        s.now + e.TimeLeft,
 		recovered:       e.Recovered,
 		attemptCount:    e.Prior.Count,
