--- a/lab/world/small_destinations_test.go
+++ b/lab/world/small_destinations_test.go
@@ -19,6 +19,7 @@
 	seed        uint64
 	senders     int
 	outageKind  string
+	size        float64       // share of the calls that fail
 	length      time.Duration // of the outage
 	rate        int           // messages a second, over all senders
 	slots       int
@@ -27,8 +28,8 @@
 }
 
 func (p smallRun) String() string {
-	return fmt.Sprintf("seed %d: %d senders, %s for %v, %d messages a second, %d slots, effect %s, rates listed %s",
-		p.seed, p.senders, p.outageKind, p.length, p.rate, p.slots, p.effect, p.ratesListed)
+	return fmt.Sprintf("seed %d: %d senders, %s of %v for %v, %d messages a second, %d slots, effect %s, rates listed %s",
+		p.seed, p.senders, p.outageKind, p.size, p.length, p.rate, p.slots, p.effect, p.ratesListed)
 }
 
 // drawSmallRun draws the size of the fleet, the outage, the demand and the settings.
@@ -39,6 +40,7 @@
 		seed:        seed,
 		senders:     2 + r.IntN(12),
 		outageKind:  oneOf("hang", "hang", "vanish", "vanish", "crash", "errors", "refusals", "shut", "lost_answers"),
+		size:        1,
 		length:      time.Duration(6000+r.IntN(14001)) * time.Millisecond,
 		rate:        25 + r.IntN(46),
 		slots:       8 + r.IntN(53),
@@ -64,7 +66,7 @@
 		At:   scenario.Duration(at),
 		For:  scenario.Duration(p.length),
 		Part: 0.6,
-		Size: 1, // of the calls
+		Size: p.size,
 		By:   "destination",
 	}}
 	return s
@@ -117,8 +119,8 @@
 			t.Run(fmt.Sprint(senders, " senders, ", kind), func(t *testing.T) {
 				t.Parallel()
 				for seed := range uint64(4) {
-					p := smallRun{seed: seed, senders: senders, outageKind: kind, length: 8 * time.Second, rate: 47, slots: 24,
-						effect: "keyed", ratesListed: "none"}
+					p := smallRun{seed: seed, senders: senders, outageKind: kind, size: 1, length: 8 * time.Second, rate: 47,
+						slots: 24, effect: "keyed", ratesListed: "none"}
 					r, err := Run(p.scenario(t), Options{Seed: seed, Workers: 1})
 					if err != nil {
 						t.Fatal(err)
@@ -134,3 +136,24 @@
 		}
 	}
 }
+
+// TestSmallDestinationsInHardCases guards against rule 4 being broken where a sender learns of an outage late or in part: a
+// single sender that gives up its calls behind the return, and an outage in which two of five calls are answered.
+func TestSmallDestinationsInHardCases(t *testing.T) {
+	for name, p := range map[string]smallRun{
+		"single-sender": {seed: 10138, senders: 1, outageKind: "vanish", size: 1, length: 13_668 * time.Millisecond, rate: 69,
+			slots: 49, effect: "safe", ratesListed: "none"},
+		"answers-lost-in-part": {seed: 3, senders: 2, outageKind: "lost_answers", size: 0.6, length: 8 * time.Second, rate: 47,
+			slots: 24, effect: "keyed", ratesListed: "none"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := Run(p.scenario(t), Options{Seed: p.seed, Workers: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range r.Violations {
+				t.Errorf("%v: %v\n\t%s", p, b, strings.Join(b.Trail, "\n\t"))
+			}
+		})
+	}
+}
