Lists of discovery may come in the chunked transfer coding

Cause: http1 refused any response with a Transfer-Encoding, and the registry counted it as a failed list. Change: ChunkedReader, used for lists and for the answers to notices; other codings, several, or a length beside it are refused still. Requests of clients and answers of endpoints in chunks stay refused.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -88,10 +88,11 @@
 
 // Response is a response with its body. Close means that the connection cannot be used again.
 type Response struct {
-	Status int
-	Header Header
-	Body   []byte
-	Close  bool
+	Status  int
+	Header  Header
+	Body    []byte
+	Close   bool
+	Chunked bool // of ReadResponseHead: the body is in the chunked transfer coding
 }
 
 // ReadRequest reads the head of a request. It returns io.EOF if the stream ends before the first byte, an *Error if the
@@ -170,11 +171,16 @@
 	if err != nil || length == 0 {
 		return r, err
 	}
+	if r.Chunked {
+		r.Close = true
+		return r, malformed("transfer codings are not supported")
+	}
 	return r, r.readBody(br, length, maxBody)
 }
 
-// ReadResponseHead skips interim responses and reads the head of the final one. It leaves the body to the caller:
-// length bytes, or everything up to the end of the connection if length is negative.
+// ReadResponseHead skips interim responses and reads the head of the final one. It leaves the body to the caller: what a
+// ChunkedReader reads if the response is Chunked, else length bytes, or everything up to the end of the connection if
+// length is negative.
 func ReadResponseHead(br *bufio.Reader) (r *Response, length int, err error) {
 	for range MaxInterimResponses + 1 {
 		if r, length, err = readOneResponseHead(br); err != nil || r.Status >= 200 {
@@ -214,8 +220,7 @@
 		return r, 0, nil
 	}
 	if r.Header.has("Transfer-Encoding") {
-		r.Close = true
-		return r, 0, malformed("transfer codings are not supported")
+		return r, -1, r.readTransferCoding()
 	}
 	length, present, err := contentLength(r.Header)
 	if err != nil || !present { // without a length the body ends with the connection
@@ -224,6 +229,23 @@
 	return r, length, err
 }
 
+// readTransferCoding notes the chunked coding, the only one that every recipient has to read. With a length beside it, two
+// recipients could frame the body differently.
+func (r *Response) readTransferCoding() error {
+	var codings []string
+	for _, f := range r.Header {
+		if strings.EqualFold(f.Name, "Transfer-Encoding") {
+			codings = append(codings, f.Value)
+		}
+	}
+	r.Chunked = len(codings) == 1 && strings.EqualFold(codings[0], "chunked") && !r.Header.has("Content-Length")
+	if !r.Chunked {
+		r.Close = true
+		return malformed("transfer codings other than chunked are not supported")
+	}
+	return nil
+}
+
 // readBody reads a body of the given length, or up to the end of the connection if length is negative.
 func (r *Response) readBody(br *bufio.Reader, length, maxBody int) (err error) {
 	if length > maxBody {
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -145,8 +145,8 @@
 
 // body reads the body of an answer.
 type body struct {
-	br         *bufio.Reader
-	left       int // bytes; negative if the body ends with the connection
+	source     io.Reader
+	left       int // bytes; negative if the body ends with the connection, or with its last chunk
 	timer      *requestTimer
 	connFailed bool // before the end of the body
 }
@@ -159,7 +159,7 @@
 	if b.left > 0 {
 		p = p[:min(len(p), b.left)]
 	}
-	n, err := b.br.Read(p)
+	n, err := b.source.Read(p)
 	b.timer.received(n)
 	if b.left > 0 {
 		b.left -= n
@@ -250,7 +250,10 @@
 	} else if err != nil {
 		return resp, err
 	}
-	b := &body{br: c.br, left: length, timer: timer}
+	b := &body{source: c.br, left: length, timer: timer}
+	if resp.Chunked {
+		b.source = http1.NewChunkedReader(c.br)
+	}
 	if read != nil && resp.Status == 200 {
 		if err := read(b, length); err != nil && !b.connFailed {
 			return resp, &unusableAnswerError{err}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -836,3 +836,32 @@
 		t.Errorf("got %+v after %d failures, want one failure", l, r.Failed.Load())
 	}
 }
+
+// answersInChunks answers with a body in the chunked transfer coding, seven bytes to a chunk.
+func answersInChunks(text string) answerFunc {
+	return func(nc net.Conn, _ chan struct{}) {
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for chunk := range slices.Chunk([]byte(text), 7) {
+			fmt.Fprintf(nc, "%x\r\n%s\r\n", len(chunk), chunk)
+		}
+		io.WriteString(nc, "0\r\n\r\n")
+	}
+}
+
+// TestListsInChunksAreRead guards against a discovery that sends its lists in chunks and is never heard (review case 10): the
+// sender keeps calling endpoints that have been drained. The list and the change behind it come on connections that are kept.
+func TestListsInChunksAreRead(t *testing.T) {
+	_, s, _ := follow(t,
+		answersInChunks(listText(1, true, entryText("a", "Ready"))),
+		answersInChunks(listText(2, false, entryText("a", "Terminating"))),
+		neverAnswers)
+	if l := testkit.Receive(t, s.lists, "first list"); !l.Whole || len(l.Hosts) != 1 || l.Hosts[0].Draining {
+		t.Errorf("first list %+v", l)
+	}
+	if l := testkit.Receive(t, s.lists, "change"); l.Whole || len(l.Hosts) != 1 || !l.Hosts[0].Draining {
+		t.Errorf("change %+v", l)
+	}
+	if n := len(s.failed); n > 0 {
+		t.Errorf("%d lists failed", n)
+	}
+}
